Lay out the workspace, the schema of the operators' calls and the base types

Purpose: the frame that the thin whole path is built in: four packages, pinned requirements, the committed schema with its generated code, and the types at the border between kernel and shell. Nothing runs end to end yet.

--- /dev/null
+++ b/packages/baobabapi/baobabapi/__init__.py
@@ -0,0 +1,1 @@
+"""Schema of the operators' calls and the code generated from it."""
--- /dev/null
+++ b/packages/baobabctl/baobabctl/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of the operators."""
--- /dev/null
+++ b/packages/baobabring/baobabring/__init__.py
@@ -0,0 +1,1 @@
+"""Load balancer that answers for the outcome of each call."""
--- /dev/null
+++ b/packages/baobabring/baobabring/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of calls and fairness between them."""
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of targets."""
--- /dev/null
+++ b/packages/baobabring/baobabring/base/__init__.py
@@ -0,0 +1,5 @@
+"""Bases of plug-ins."""
+
+from baobabring.base._registry import Registry
+
+__all__ = ["Registry"]
--- /dev/null
+++ b/packages/baobabring/baobabring/base/_registry.py
@@ -0,0 +1,42 @@
+"""Registry by which plug-ins announce themselves."""
+
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class Registry(Generic[T]):
+    """Map names to classes of one kind of plug-in.
+
+    Parameters
+    ----------
+    kind : str
+        What the plug-ins are, for error messages.
+    """
+
+    def __init__(self, kind: str) -> None:
+        self.kind = kind
+        self._classes: dict[str, type[T]] = {}
+
+    def register(self, name: str) -> Callable[[type[T]], type[T]]:
+        """Return a class decorator that registers a plug-in under `name`."""
+
+        def add(plugin: type[T]) -> type[T]:
+            if name in self._classes:
+                raise ValueError(f"{self.kind} {name!r} is registered twice")
+            self._classes[name] = plugin
+            return plugin
+
+        return add
+
+    def get(self, name: str) -> type[T]:
+        """Return the class registered under `name`, or raise ValueError."""
+        if name not in self._classes:
+            known = ", ".join(self.names())
+            raise ValueError(f"unknown {self.kind} {name!r}; known: {known}")
+        return self._classes[name]
+
+    def names(self) -> list[str]:
+        """Return the registered names in order."""
+        return sorted(self._classes)
--- /dev/null
+++ b/packages/baobabring/baobabring/calls/__init__.py
@@ -0,0 +1,1 @@
+"""State machine of calls."""
--- /dev/null
+++ b/packages/baobabring/baobabring/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once claims on idempotency keys."""
--- /dev/null
+++ b/packages/baobabring/baobabring/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Fold of the published configuration."""
--- /dev/null
+++ b/packages/baobabring/baobabring/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Live view of the fleet."""
--- /dev/null
+++ b/packages/baobabring/baobabring/model/__init__.py
@@ -0,0 +1,45 @@
+"""Typed data shared by the kernel and the shell."""
+
+from baobabring.model._config import (
+    Configuration,
+    KeyRule,
+    Rule,
+    Service,
+    Target,
+    TargetState,
+    ZoneState,
+)
+from baobabring.model._outcomes import (
+    Answer,
+    Answered,
+    AttemptOutcome,
+    CallOutcome,
+    Completed,
+    LoadReport,
+    Lost,
+    NotRun,
+    Reason,
+    Shed,
+    Unknown,
+)
+
+__all__ = [
+    "Answer",
+    "Answered",
+    "AttemptOutcome",
+    "CallOutcome",
+    "Completed",
+    "Configuration",
+    "KeyRule",
+    "LoadReport",
+    "Lost",
+    "NotRun",
+    "Reason",
+    "Rule",
+    "Service",
+    "Shed",
+    "Target",
+    "TargetState",
+    "Unknown",
+    "ZoneState",
+]
--- /dev/null
+++ b/packages/baobabring/baobabring/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' remote calls."""
--- /dev/null
+++ b/packages/baobabring/baobabring/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between instances."""
--- /dev/null
+++ b/packages/baobabring/baobabring/probing/__init__.py
@@ -0,0 +1,1 @@
+"""Probes of targets and their budget."""
--- /dev/null
+++ b/packages/baobabring/baobabring/program/__init__.py
@@ -0,0 +1,1 @@
+"""The instance program."""
--- /dev/null
+++ b/packages/baobabring/baobabring/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets."""
--- /dev/null
+++ b/packages/baobabring/baobabring/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings from an INI file."""
--- /dev/null
+++ b/packages/baobabring/baobabring/targets/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP towards targets."""
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for targets; no shipped package imports them."""
