Add stand-ins for the platform and for targets

Tests and the demo need a log, a lagging list of instances and targets whose faults can be steered while they run.

--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/platform/__main__.py
@@ -0,0 +1,41 @@
+"""Run the platform stand-in."""
+
+import asyncio
+
+from absl import app, flags
+
+from baobabstandins._serving import start_site, wait_for_signal
+from baobabstandins.platform import PlatformFaults, make_platform
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on")
+flags.DEFINE_integer("port", 6000, "port to listen on; 0 takes a free one")
+flags.DEFINE_float("retention_s", 600.0, "how long records are kept, in s")
+flags.DEFINE_float("appends_per_s", 300.0, "limit on appends over all streams")
+flags.DEFINE_float("list_lag_ms", 1000.0, "lag of the list of instances, in ms")
+flags.DEFINE_float("list_expiry_ms", 5000.0, "life of an entry not renewed, in ms")
+
+
+async def serve() -> None:
+    """Serve until a signal comes."""
+    faults = PlatformFaults(
+        retention_ms=FLAGS.retention_s * 1000, appends_per_s=FLAGS.appends_per_s
+    )
+    platform = make_platform(faults, FLAGS.list_lag_ms, FLAGS.list_expiry_ms)
+    runner, port = await start_site(
+        platform.make_app(), FLAGS.host, FLAGS.port, cancel_when_caller_leaves=False
+    )
+    print(f"listening {FLAGS.host}:{port}", flush=True)
+    await wait_for_signal()
+    await runner.cleanup()
+
+
+def main(argv: list[str]) -> None:
+    """Run the event loop."""
+    if len(argv) > 1:
+        raise app.UsageError(f"unexpected argument {argv[1]!r}")
+    asyncio.run(serve())
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/target/__main__.py
@@ -0,0 +1,81 @@
+"""Run one or several target stand-ins in one process."""
+
+import asyncio
+from dataclasses import replace
+
+from absl import app, flags
+
+from baobabstandins._serving import start_site, wait_for_signal
+from baobabstandins.target import TargetSettings, make_target, parse_specs
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on")
+flags.DEFINE_integer("port", 6100, "first port to listen on; 0 takes free ones")
+flags.DEFINE_string("target_id", "target", "name of the target, or its prefix")
+flags.DEFINE_integer("targets", 1, "how many targets, on consecutive ports")
+flags.DEFINE_list("spec", [], "targets as id:port:slots instead of a count")
+flags.DEFINE_integer("slots", 2, "calls that run at once")
+flags.DEFINE_integer("queue_limit", 8, "calls that wait at most")
+flags.DEFINE_float("service_ms", 20.0, "median service time, in ms")
+flags.DEFINE_float("service_sigma", 0.3, "shape of the lognormal service time")
+flags.DEFINE_float("probe_ms", 6.0, "work that a probe costs, in ms")
+flags.DEFINE_integer("padding_bytes", 256, "padding of answers, in bytes")
+flags.DEFINE_integer("cold_calls", 20, "calls that end a cold start")
+flags.DEFINE_float("cold_ms", 1000.0, "least length of a cold start, in ms")
+flags.DEFINE_integer("cold_limit", 1, "calls at once that a cold target bears")
+flags.DEFINE_bool("cold_at_start", False, "whether targets start cold")
+flags.DEFINE_integer("seed", 0, "seed of the service times")
+
+
+def settings_from_flags() -> list[TargetSettings]:
+    """Return the settings of all targets of this process."""
+    common = TargetSettings(
+        target_id=FLAGS.target_id,
+        port=FLAGS.port,
+        slots=FLAGS.slots,
+        queue_limit=FLAGS.queue_limit,
+        service_ms=FLAGS.service_ms,
+        service_sigma=FLAGS.service_sigma,
+        probe_ms=FLAGS.probe_ms,
+        padding_bytes=FLAGS.padding_bytes,
+        cold_calls=FLAGS.cold_calls,
+        cold_ms=FLAGS.cold_ms,
+        cold_limit=FLAGS.cold_limit,
+        cold_at_start=FLAGS.cold_at_start,
+        seed=FLAGS.seed,
+    )
+    if FLAGS.spec:
+        return parse_specs(FLAGS.spec, common)
+    if FLAGS.targets == 1:
+        return [common]
+    return [_numbered(common, index) for index in range(FLAGS.targets)]
+
+
+def _numbered(common: TargetSettings, index: int) -> TargetSettings:
+    port = common.port + index if common.port else 0
+    return replace(common, target_id=f"{common.target_id}-{index + 1}", port=port)
+
+
+async def serve(all_settings: list[TargetSettings]) -> None:
+    """Serve all targets until a signal comes."""
+    runners = []
+    for settings in all_settings:
+        target = make_target(settings)
+        runner, port = await start_site(
+            target.make_app(), FLAGS.host, settings.port, cancel_when_caller_leaves=True
+        )
+        runners.append(runner)
+        print(f"listening {FLAGS.host}:{port} {settings.target_id}", flush=True)
+    await wait_for_signal()
+    await asyncio.gather(*(runner.cleanup() for runner in runners))
+
+
+def main(argv: list[str]) -> None:
+    """Run the event loop."""
+    if len(argv) > 1:
+        raise app.UsageError(f"unexpected argument {argv[1]!r}")
+    asyncio.run(serve(settings_from_flags()))
+
+
+if __name__ == "__main__":
+    app.run(main)
