Add a harness for fleets of processes and a checker of their histories

The harness starts, kills, pauses and ends processes by their id and keeps a typed history of callers and operators. The checker is pure functions, one for each promise, so that a bad history made by hand shows that it finds a fault.

--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/checker/__init__.py
@@ -0,0 +1,39 @@
+"""Check histories of calls and journals of targets against the promises."""
+
+from baobabstandins.checker._calls import (
+    check_every_call_stated,
+    check_no_call_cut_off,
+    check_not_run_is_true,
+    check_own_whole_answers,
+    check_runs_at_most_once,
+    check_share_completed,
+)
+from baobabstandins.checker._configuration import (
+    check_accepted_revisions_differ,
+    check_configuration_in_force,
+    check_configuration_never_reverts,
+)
+from baobabstandins.checker._findings import Finding
+from baobabstandins.checker._targets import (
+    TargetRecord,
+    check_cold_limit,
+    check_no_new_work,
+    check_probe_budget,
+)
+
+__all__ = [
+    "Finding",
+    "TargetRecord",
+    "check_accepted_revisions_differ",
+    "check_cold_limit",
+    "check_configuration_in_force",
+    "check_configuration_never_reverts",
+    "check_every_call_stated",
+    "check_no_call_cut_off",
+    "check_no_new_work",
+    "check_not_run_is_true",
+    "check_own_whole_answers",
+    "check_probe_budget",
+    "check_runs_at_most_once",
+    "check_share_completed",
+]
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/checker/_targets.py
@@ -0,0 +1,66 @@
+"""Check what ran at targets and what measuring them cost."""
+
+from dataclasses import dataclass
+
+from baobabstandins.checker._findings import Finding
+from baobabstandins.target import Counters, JournalEntry
+
+
+@dataclass(frozen=True, slots=True)
+class TargetRecord:
+    """Hold what one target recorded."""
+
+    target_id: str
+    zone: str
+    slots: int
+    entries: tuple[JournalEntry, ...]
+    counters: Counters
+
+
+def check_no_new_work(
+    record: TargetRecord, left_at_s: float, grace_s: float, back_at_s: float
+) -> list[Finding]:
+    """Find calls that started at a target while it should have had no new work."""
+    late = [
+        entry
+        for entry in record.entries
+        if left_at_s + grace_s < entry.started_at_s < back_at_s
+    ]
+    return [
+        Finding(
+            "no new work after leaving",
+            record.target_id,
+            f"{entry.request_id} started {entry.started_at_s - left_at_s:.3f} s after",
+        )
+        for entry in late
+    ]
+
+
+def check_cold_limit(
+    record: TargetRecord, turned_cold_at_s: float = 0.0, grace_s: float = 0.0
+) -> list[Finding]:
+    """Find calls beyond what a cold target bears.
+
+    A target that turns cold unannounced may get such calls for `grace_s`.
+    """
+    excused_until_s = turned_cold_at_s + grace_s
+    times = record.counters.cold_violations_at_s
+    late = [at_s for at_s in times if not turned_cold_at_s <= at_s <= excused_until_s]
+    if not late:
+        return []
+    problem = f"{len(late)} calls beyond the limit of a cold target"
+    return [Finding("cold limit", record.target_id, problem)]
+
+
+def check_probe_budget(
+    records: list[TargetRecord], duration_s: float, budget_share: float
+) -> list[Finding]:
+    """Find that probes took more than a share of the slots' time of all targets."""
+    capacity_ms = sum(record.slots for record in records) * duration_s * 1000
+    spent_ms = sum(record.counters.probe_busy_ms for record in records)
+    if spent_ms <= capacity_ms * budget_share:
+        return []
+    problem = (
+        f"{spent_ms:.0f} ms of {capacity_ms:.0f} ms; the budget is {budget_share:.2%}"
+    )
+    return [Finding("probe budget", "all targets", problem)]
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/checker/tests/test_configuration.py
@@ -0,0 +1,36 @@
+from baobabstandins.checker import (
+    check_accepted_revisions_differ,
+    check_configuration_in_force,
+    check_configuration_never_reverts,
+)
+from baobabstandins.fleet import ChangeAccepted, ConfigurationSeen
+
+
+def seen(revision, at_s, instance_id="sapporo-1", digest=None):
+    return ConfigurationSeen(instance_id, revision, digest or str(revision), at_s)
+
+
+def test_two_changes_accepted_under_one_revision_are_found():
+    accepted = [ChangeAccepted(4, "a", 1.0), ChangeAccepted(4, "b", 1.0)]
+    assert len(check_accepted_revisions_differ(accepted)) == 1
+
+
+def test_instance_that_goes_back_is_found():
+    (finding,) = check_configuration_never_reverts([seen(4, 1.0), seen(3, 2.0)])
+    assert finding.problem == "revision 4 went back to 3"
+
+
+def test_instances_may_differ_in_revision():
+    views = [seen(4, 1.0), seen(3, 2.0, "sapporo-2")]
+    assert check_configuration_never_reverts(views) == []
+
+
+def test_one_revision_with_two_contents_is_found():
+    views = [seen(4, 1.0), seen(4, 2.0, "sapporo-2", digest="other")]
+    assert len(check_configuration_never_reverts(views)) == 1
+
+
+def test_old_revision_after_the_grace_is_found():
+    accepted = [ChangeAccepted(4, "a", 10.0)]
+    assert check_configuration_in_force([seen(3, 12.0)], accepted, 3.0) == []
+    assert len(check_configuration_in_force([seen(3, 14.0)], accepted, 3.0)) == 1
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/fleet/__init__.py
@@ -0,0 +1,63 @@
+"""Harness that runs a fleet of processes and keeps histories of its callers."""
+
+from baobabstandins.fleet._caller import Call, HistoryCaller, make_call
+from baobabstandins.fleet._changes import (
+    drain_target,
+    put_service,
+    put_target,
+    remove_target,
+    set_zone_state,
+)
+from baobabstandins.fleet._children import ChildError, ChildProcess, start_python
+from baobabstandins.fleet._fleet import Fleet
+from baobabstandins.fleet._history import (
+    CallEvent,
+    ChangeAccepted,
+    ConfigurationSeen,
+    Invoked,
+    Left,
+    Lost,
+    Returned,
+    StatedOutcome,
+)
+from baobabstandins.fleet._members import (
+    InstanceMember,
+    PlatformMember,
+    PlatformOptions,
+    TargetMember,
+    TargetOptions,
+)
+from baobabstandins.fleet._operator import Change, Operator, PublishError
+from baobabstandins.fleet._ports import reserve_port
+
+__all__ = [
+    "Call",
+    "CallEvent",
+    "Change",
+    "ChangeAccepted",
+    "ChildError",
+    "ChildProcess",
+    "ConfigurationSeen",
+    "Fleet",
+    "HistoryCaller",
+    "InstanceMember",
+    "Invoked",
+    "Left",
+    "Lost",
+    "Operator",
+    "PlatformMember",
+    "PlatformOptions",
+    "PublishError",
+    "Returned",
+    "StatedOutcome",
+    "TargetMember",
+    "TargetOptions",
+    "drain_target",
+    "make_call",
+    "put_service",
+    "put_target",
+    "remove_target",
+    "reserve_port",
+    "set_zone_state",
+    "start_python",
+]
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/fleet/_fleet.py
@@ -0,0 +1,179 @@
+"""Start, disturb and stop a platform stand-in, targets and instances."""
+
+import asyncio
+import signal
+import time
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from baobabstandins.fleet._children import ChildError, ChildProcess, start_python
+from baobabstandins.fleet._members import (
+    InstanceMember,
+    PlatformMember,
+    PlatformOptions,
+    TargetMember,
+    TargetOptions,
+)
+from baobabstandins.fleet._ports import reserve_port
+from baobabstandins.fleet._settings_file import SettingsSections, write_settings
+from baobabstandins.target import Counters, JournalEntry
+
+HOST = "127.0.0.1"
+READY_TIMEOUT_S = 20.0
+READY_POLL_S = 0.05
+
+
+class Fleet:
+    """Own the processes of one test run.
+
+    Parameters
+    ----------
+    directory : Path
+        Where settings and logs go.
+    extra_settings : dict of dict
+        Sections that every instance gets besides its addresses.
+    """
+
+    def __init__(
+        self, directory: Path, extra_settings: SettingsSections | None = None
+    ) -> None:
+        self.directory = directory
+        self.extra_settings = extra_settings or {}
+        self.platform: PlatformMember | None = None
+        self.targets: dict[str, TargetMember] = {}
+        self.instances: list[InstanceMember] = []
+        self._children: list[ChildProcess] = []
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Fleet":
+        connector = aiohttp.TCPConnector(force_close=True)
+        self._session = aiohttp.ClientSession(connector=connector)
+        return self
+
+    async def __aexit__(self, *exception: object) -> None:
+        await self._session.close()
+        await asyncio.gather(*(child.stop() for child in self._children))
+
+    async def start_platform(self, options: PlatformOptions) -> PlatformMember:
+        """Start the platform stand-in."""
+        arguments = ["--port=0", *options.arguments()]
+        child = await self._start("baobabstandins.platform", arguments, "platform")
+        _, address = (await child.read_line()).split()
+        self.platform = PlatformMember(address, child)
+        return self.platform
+
+    async def start_targets(
+        self, prefix: str, count: int, zone: str, options: TargetOptions
+    ) -> list[TargetMember]:
+        """Start targets `prefix-1`, `prefix-2`, ... of a zone in one process."""
+        first = 1 + sum(name.startswith(f"{prefix}-") for name in self.targets)
+        specs = [
+            f"{prefix}-{number}:0:{options.slots}"
+            for number in range(first, first + count)
+        ]
+        arguments = ["--spec=" + ",".join(specs), *options.arguments()]
+        child = await self._start(
+            "baobabstandins.target", arguments, f"{prefix}-{first}"
+        )
+        started = []
+        for _ in specs:
+            _, address, target_id = (await child.read_line()).split()
+            member = TargetMember(target_id, address, zone, options.slots, child)
+            self.targets[target_id] = member
+            started.append(member)
+        return started
+
+    async def start_instance(self, zone: str) -> InstanceMember:
+        """Start an instance and wait until it is ready."""
+        instance_id = f"{zone}-{len(self.instances) + 1}"
+        caller, peer, operator = (f"{HOST}:{reserve_port(HOST)}" for _ in range(3))
+        path = self.directory / f"{instance_id}.ini"
+        sections = {
+            "instance": {"id": instance_id, "zone": zone},
+            "callers": {"address": caller},
+            "peers": {"address": peer},
+            "operators": {"address": operator},
+            "platform": {"url": f"http://{self.platform.address}"},
+        }
+        write_settings(path, sections | self.extra_settings)
+        child = await self._start(
+            "baobabring.program", ["--settings", str(path)], instance_id
+        )
+        member = InstanceMember(instance_id, zone, caller, peer, operator, child)
+        self.instances.append(member)
+        await self._wait_ready(member)
+        return member
+
+    def kill(self, member: InstanceMember) -> None:
+        """End an instance at once."""
+        member.disturbed = True
+        member.in_rotation = False
+        member.child.send(signal.SIGKILL)
+
+    def terminate(self, member: InstanceMember) -> None:
+        """Tell an instance to shut down; it stays in rotation until not ready."""
+        member.child.send(signal.SIGTERM)
+
+    def pause(self, member: InstanceMember) -> None:
+        """Stop an instance without ending it."""
+        member.disturbed = True
+        member.child.send(signal.SIGSTOP)
+
+    def resume(self, member: InstanceMember) -> None:
+        """Let a paused instance go on."""
+        member.child.send(signal.SIGCONT)
+
+    def rotation(self) -> list[InstanceMember]:
+        """Return the instances to which the platform's balancer sends callers."""
+        return [member for member in self.instances if member.in_rotation]
+
+    async def is_ready(self, member: InstanceMember) -> bool:
+        """Tell whether an instance answers that it is ready."""
+        url = f"http://{member.caller_address}/readyz"
+        try:
+            async with self._session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def put_faults(self, address: str, faults: dict[str, object]) -> None:
+        """Change faults of a stand-in."""
+        url = f"http://{address}/-/faults"
+        async with self._session.put(url, json=faults) as response:
+            if response.status != 200:
+                raise ValueError(await response.text())
+
+    async def journal(self, target: TargetMember) -> list[JournalEntry]:
+        """Return the journal of a target."""
+        body = await self._get(f"http://{target.address}/-/journal")
+        return msgspec.json.decode(body, type=list[JournalEntry])
+
+    async def counters(self, target: TargetMember) -> Counters:
+        """Return the counters of a target."""
+        body = await self._get(f"http://{target.address}/-/counters")
+        return msgspec.json.decode(body, type=Counters)
+
+    async def _get(self, url: str) -> bytes:
+        async with self._session.get(url) as response:
+            return await response.read()
+
+    async def _start(
+        self, module: str, arguments: list[str], name: str
+    ) -> ChildProcess:
+        log_path = self.directory / f"{name}.log"
+        child = await start_python(module, arguments, log_path)
+        self._children.append(child)
+        return child
+
+    async def _wait_ready(self, member: InstanceMember) -> None:
+        wait_until = time.monotonic() + READY_TIMEOUT_S
+        while not await self.is_ready(member):
+            if not member.child.running or time.monotonic() > wait_until:
+                raise ChildError(
+                    f"{member.instance_id} is not ready; log: {member.child.log_text()}"
+                )
+            await asyncio.sleep(READY_POLL_S)
+        member.ready_at_s = time.time()
+        member.in_rotation = True
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/fleet/_members.py
@@ -0,0 +1,85 @@
+"""Members of a fleet, each with its process and its addresses."""
+
+from dataclasses import dataclass
+
+from baobabstandins.fleet._children import ChildProcess
+
+
+@dataclass(slots=True)
+class PlatformMember:
+    """Describe the platform stand-in."""
+
+    address: str
+    child: ChildProcess
+
+
+@dataclass(slots=True)
+class TargetMember:
+    """Describe one target stand-in; several may share a process."""
+
+    target_id: str
+    address: str
+    zone: str
+    slots: int
+    child: ChildProcess
+
+
+@dataclass(slots=True)
+class InstanceMember:
+    """Describe one instance.
+
+    `disturbed` tells that it was killed, paused or cut off, so that a call may
+    have lost its connection there.
+    """
+
+    instance_id: str
+    zone: str
+    caller_address: str
+    peer_address: str
+    operator_address: str
+    child: ChildProcess
+    in_rotation: bool = False
+    disturbed: bool = False
+    ready_at_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class TargetOptions:
+    """Hold the flags of target stand-ins that differ from their defaults."""
+
+    slots: int = 2
+    service_ms: float = 20.0
+    queue_limit: int = 8
+    cold_at_start: bool = False
+    cold_limit: int = 1
+    seed: int = 0
+
+    def arguments(self) -> list[str]:
+        """Return the command line flags."""
+        return [
+            f"--slots={self.slots}",
+            f"--service_ms={self.service_ms}",
+            f"--queue_limit={self.queue_limit}",
+            f"--cold_at_start={str(self.cold_at_start).lower()}",
+            f"--cold_limit={self.cold_limit}",
+            f"--seed={self.seed}",
+        ]
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformOptions:
+    """Hold the flags of the platform stand-in that differ from its defaults."""
+
+    list_lag_ms: float = 500.0
+    list_expiry_ms: float = 5000.0
+    appends_per_s: float = 300.0
+    retention_s: float = 600.0
+
+    def arguments(self) -> list[str]:
+        """Return the command line flags."""
+        return [
+            f"--list_lag_ms={self.list_lag_ms}",
+            f"--list_expiry_ms={self.list_expiry_ms}",
+            f"--appends_per_s={self.appends_per_s}",
+            f"--retention_s={self.retention_s}",
+        ]
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/fleet/_operator.py
@@ -0,0 +1,126 @@
+"""Operator that publishes through instances and samples what they show."""
+
+import asyncio
+import hashlib
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import grpc
+from baobabapi import operators_pb2, operators_pb2_grpc
+
+from baobabstandins.fleet._history import ChangeAccepted, ConfigurationSeen
+from baobabstandins.fleet._members import InstanceMember
+
+RPC_TIMEOUT_S = 5.0
+SAMPLE_TIMEOUT_S = 1.0
+PUBLISH_TIMEOUT_S = 15.0
+PUBLISH_PAUSE_S = 0.1
+SAMPLE_PAUSE_S = 0.1
+
+Rotation = Callable[[], list[InstanceMember]]
+
+
+class PublishError(Exception):
+    """Tell that a change could not be published."""
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Name a change and the call that publishes it; the base is filled in."""
+
+    name: str
+    method: str
+    request: object
+
+
+class Operator:
+    """Publish changes and keep what instances showed.
+
+    Parameters
+    ----------
+    rotation : callable
+        Returns the instances to talk to.
+    """
+
+    def __init__(self, rotation: Rotation) -> None:
+        self.rotation = rotation
+        self.accepted: list[ChangeAccepted] = []
+        self.seen: list[ConfigurationSeen] = []
+
+    async def publish(self, change: Change) -> int:
+        """Publish a change, again after a conflict; return its revision."""
+        give_up_s = time.monotonic() + PUBLISH_TIMEOUT_S
+        problem = ""
+        while time.monotonic() < give_up_s:
+            member = self.rotation()[0]
+            try:
+                listed = await _list_services(member, RPC_TIMEOUT_S)
+                reply = await self._send(member, change, listed.revision)
+            except grpc.aio.AioRpcError as error:
+                problem = error.details()
+            else:
+                if reply.HasField("accepted"):
+                    return reply.accepted.revision
+                if reply.HasField("invalid"):
+                    raise PublishError(f"{change.name}: {reply.invalid}")
+                problem = str(reply)
+            await asyncio.sleep(PUBLISH_PAUSE_S)
+        raise PublishError(f"{change.name}: {problem}")
+
+    async def race(self, change: Change) -> None:
+        """Publish a change through all instances at once, on the same base."""
+        members = self.rotation()
+        listed = await _list_services(members[0], RPC_TIMEOUT_S)
+        sends = (self._send(member, change, listed.revision) for member in members)
+        await asyncio.gather(*sends, return_exceptions=True)
+
+    async def sample_forever(self) -> None:
+        """Note again and again which configuration each instance shows."""
+        while True:
+            await asyncio.gather(*(self._sample(m) for m in self.rotation()))
+            await asyncio.sleep(SAMPLE_PAUSE_S)
+
+    async def _send(
+        self, member: InstanceMember, change: Change, base_revision: int
+    ) -> operators_pb2.ChangeReply:
+        request = type(change.request)()
+        request.CopyFrom(change.request)
+        request.base_revision = base_revision
+        async with grpc.aio.insecure_channel(member.operator_address) as channel:
+            stub = operators_pb2_grpc.OperatorsStub(channel)
+            reply = await getattr(stub, change.method)(request, timeout=RPC_TIMEOUT_S)
+        if reply.HasField("accepted"):
+            revision = reply.accepted.revision
+            self.accepted.append(ChangeAccepted(revision, change.name, time.time()))
+        return reply
+
+    async def _sample(self, member: InstanceMember) -> None:
+        asked_at_s = time.time()
+        try:
+            listed = await _list_services(member, SAMPLE_TIMEOUT_S)
+        except grpc.aio.AioRpcError:
+            return
+        view = ConfigurationSeen(
+            member.instance_id, listed.revision, _digest(listed), asked_at_s
+        )
+        self.seen.append(view)
+
+
+async def _list_services(
+    member: InstanceMember, timeout_s: float
+) -> operators_pb2.ListServicesReply:
+    async with grpc.aio.insecure_channel(member.operator_address) as channel:
+        stub = operators_pb2_grpc.OperatorsStub(channel)
+        request = operators_pb2.ListServicesRequest()
+        return await stub.ListServices(request, timeout=timeout_s)
+
+
+def _digest(listed: operators_pb2.ListServicesReply) -> str:
+    """Return a digest that does not depend on the order of the lists."""
+    for service in listed.services:
+        service.targets.sort(key=lambda target: target.target_id)
+    listed.services.sort(key=lambda service: service.service_id)
+    listed.zones.sort(key=lambda zone: zone.zone)
+    encoded = listed.SerializeToString(deterministic=True)
+    return hashlib.sha256(encoded).hexdigest()
