Choose targets by own and peers' calls in flight

A target's slots are shared by all instances, so a choice by own calls alone collides. The balancer adds the peers' counts, weighted by their age, and leaves calls to the instance's queue when every target looks full. Policies of the field register besides it, to be measured against. Outliers are ejected up to a share of a service; targets in cold start take calls under a lease of the log only.

--- a/packages/baobabring/baobabring/balancing/__init__.py
+++ b/packages/baobabring/baobabring/balancing/__init__.py
@@ -1,1 +1,53 @@
 """Choice of targets."""
+
+from baobabring.balancing import (
+    _hot_cold,
+    _least_in_flight,
+    _random,
+    _round_robin,
+    _shared,
+    _two_choices,
+)
+from baobabring.balancing._balancer import Balancer, create_balancer
+from baobabring.balancing._candidate import Candidate
+from baobabring.balancing._cold_fold import COLD_STREAM
+from baobabring.balancing._cold_start import ColdStartGuard
+from baobabring.balancing._ejection import OutlierEjection
+from baobabring.balancing._policy import POLICIES, TargetPolicy
+from baobabring.balancing._settings import BalancingSettings
+from baobabring.balancing._sharing import InFlightSharing
+from baobabring.balancing._updates import (
+    ColdNotice,
+    InFlightUpdate,
+    TargetCount,
+    decode_update,
+    encode_update,
+)
+
+# Importing a module of policies registers them.
+PLUGIN_MODULES = (
+    _hot_cold,
+    _least_in_flight,
+    _random,
+    _round_robin,
+    _shared,
+    _two_choices,
+)
+
+__all__ = [
+    "COLD_STREAM",
+    "POLICIES",
+    "Balancer",
+    "BalancingSettings",
+    "Candidate",
+    "ColdNotice",
+    "ColdStartGuard",
+    "InFlightSharing",
+    "InFlightUpdate",
+    "OutlierEjection",
+    "TargetCount",
+    "TargetPolicy",
+    "create_balancer",
+    "decode_update",
+    "encode_update",
+]
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/_candidate.py
@@ -0,0 +1,50 @@
+"""State of one target as this instance sees it."""
+
+from dataclasses import dataclass
+
+UNKNOWN_LATENCY_MS = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Candidate:
+    """Hold what a policy may weigh about one target.
+
+    The object lives as long as the target; the balancer updates it in place, so a
+    choice copies nothing.
+
+    Parameters
+    ----------
+    room_limit : float
+        A call may start while own and peers' calls are fewer than this.
+    peers_in_flight : float
+        Calls of all other instances, each weighted by the age of the information;
+        brought up to date by the balancer before each choice.
+    peers_scaled : float
+        The same sum times a factor that all targets of the service share.
+    latency_ms : float
+        Moving average of the time to the first byte; 0 while unknown.
+    latency_ratio : float
+        `latency_ms` over the service's mean as of `latency_at_s`.
+    peak_latency_ms : float
+        Moving average that follows rises at once and falls slowly.
+    failure_cost : float
+        Cost of failed attempts in units of load as of `failure_at_s`.
+    probe_in_flight : int
+        Calls in flight that the target itself reported last.
+    """
+
+    target_id: str
+    slots: int
+    local_zone: bool = False
+    room_limit: float = 0.0
+    own_in_flight: int = 0
+    peers_in_flight: float = 0.0
+    peers_scaled: float = 0.0
+    latency_ms: float = UNKNOWN_LATENCY_MS
+    latency_ratio: float = 1.0
+    latency_at_s: float = 0.0
+    peak_latency_ms: float = UNKNOWN_LATENCY_MS
+    failure_cost: float = 0.0
+    failure_at_s: float = 0.0
+    probe_in_flight: int = 0
+    probe_at_s: float = 0.0
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/_hot_cold.py
@@ -0,0 +1,39 @@
+"""Choice by a limit on calls in flight, then by latency."""
+
+from collections.abc import Sequence
+from random import Random
+
+from baobabring.balancing._candidate import Candidate
+from baobabring.balancing._policy import POLICIES, TargetPolicy, pick
+
+SAMPLE_SIZE = 5
+HOT_QUANTILE = 0.8
+REPORT_LIFETIME_S = 0.1
+
+
+@POLICIES.register("hot-cold")
+class HotColdPolicy(TargetPolicy):
+    """Apply the hot/cold rule of Prequal to a random sample.
+
+    Targets above a quantile of calls in flight are hot. The fastest sampled target
+    that isn't hot wins; if all are hot, the one with the fewest calls does.
+    """
+
+    def choose(
+        self, candidates: Sequence[Candidate], now_s: float, rng: Random
+    ) -> Candidate:
+        """Return the fastest candidate of the sample that isn't hot."""
+        loads = sorted(_load(c, now_s) for c in candidates)
+        threshold = loads[int(HOT_QUANTILE * (len(loads) - 1))]
+        size = min(SAMPLE_SIZE, len(candidates))
+        sample = [pick(candidates, rng) for _ in range(size)]
+        cold = [c for c in sample if _load(c, now_s) <= threshold]
+        if cold:
+            return min(cold, key=lambda c: c.latency_ms)
+        return min(sample, key=lambda c: _load(c, now_s))
+
+
+def _load(candidate: Candidate, now_s: float) -> int:
+    if now_s - candidate.probe_at_s < REPORT_LIFETIME_S:
+        return max(candidate.own_in_flight, candidate.probe_in_flight)
+    return candidate.own_in_flight
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/_observer.py
@@ -0,0 +1,95 @@
+"""What attempts show of their targets."""
+
+from baobabring.balancing._cold_start import ColdStartGuard
+from baobabring.balancing._peers import PeerLoad
+from baobabring.balancing._service import ServiceState, TargetEntry
+from baobabring.balancing._settings import BalancingSettings
+from baobabring.model import (
+    Answered,
+    AttemptOutcome,
+    LoadReport,
+    Lost,
+    Reason,
+    Shed,
+)
+
+DECAY_MIN_S = 0.02
+DECAY_MAX_S = 2.0
+DECAY_CHANGE = 1.5
+FAILURE_DECAY_S = 2.0
+SERVER_ERROR = 500
+
+
+class OutcomeObserver:
+    """Turn outcomes of attempts into latency, cost, ejection and warmth."""
+
+    def __init__(
+        self, settings: BalancingSettings, peers: PeerLoad, cold_start: ColdStartGuard
+    ) -> None:
+        self._settings = settings
+        self._peers = peers
+        self._cold_start = cold_start
+
+    def observe(
+        self, entry: TargetEntry, outcome: AttemptOutcome, now_s: float
+    ) -> bool:
+        """Take in an outcome; return whether the set of ejected targets changed."""
+        match outcome:
+            case Answered(answer, report, first_byte_ms):
+                self._take_report(entry, report, now_s)
+                if answer.status >= SERVER_ERROR:
+                    return self._add_failure(entry, False, now_s)
+                return self._add_success(entry, report, first_byte_ms, now_s)
+            case Shed(report, reached_target):
+                self._take_report(entry, report, now_s)
+                if reached_target:
+                    entry.add_failure_cost(now_s, FAILURE_DECAY_S)
+                else:
+                    return self._add_failure(entry, True, now_s)
+            case Lost(reason) if reason is not Reason.CALLER_LEFT:
+                unreachable = reason is Reason.CONNECTION_LOST
+                return self._add_failure(entry, unreachable, now_s)
+        return False
+
+    def _take_report(
+        self, entry: TargetEntry, report: LoadReport | None, now_s: float
+    ) -> None:
+        if report is None:
+            return
+        entry.candidate.probe_in_flight = report.in_flight
+        entry.candidate.probe_at_s = now_s
+        if report.cold:
+            self._cold_start.answered(entry.target.target_id, report, now_s)
+
+    def _add_success(
+        self,
+        entry: TargetEntry,
+        report: LoadReport | None,
+        first_byte_ms: float,
+        now_s: float,
+    ) -> bool:
+        target_id = entry.target.target_id
+        service = entry.service
+        entry.observe_latency(first_byte_ms, now_s)
+        self._follow_service_time(service, now_s)
+        if report is None or not report.cold:
+            self._cold_start.answered(target_id, report, now_s)
+        ratio = entry.candidate.latency_ratio
+        if entry.probation_left:
+            entry.probation_left -= 1
+            entry.set_room_limit(self._settings.oversubscription)
+        return service.ejection.succeeded(target_id, ratio, now_s)
+
+    def _add_failure(self, entry: TargetEntry, unreachable: bool, now_s: float) -> bool:
+        service = entry.service
+        entry.add_failure_cost(now_s, FAILURE_DECAY_S)
+        return service.ejection.failed(entry.target.target_id, unreachable, now_s)
+
+    def _follow_service_time(self, service: ServiceState, now_s: float) -> None:
+        """Let peers' counts lose weight within a few service times."""
+        service_times = self._settings.decay_service_times
+        decay_s = service_times * service.mean_latency_ms / 1000.0
+        decay_s = min(max(decay_s, DECAY_MIN_S), DECAY_MAX_S)
+        change = decay_s / service.scale.decay_s
+        if change > DECAY_CHANGE or change < 1.0 / DECAY_CHANGE:
+            self._peers.set_decay(service.scale, decay_s, now_s)
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/_settings.py
@@ -0,0 +1,78 @@
+"""Settings of the choice of targets."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class BalancingSettings:
+    """Hold the settings of the section `[balancing]`.
+
+    Parameters
+    ----------
+    oversubscription : float
+        Factor on a target's slots up to which calls are sent.
+    decay_service_times : float
+        Time constant, in mean service times, by which peers' counts lose weight.
+    share_bytes_per_s : float
+        Budget of updates of calls in flight, counted before copies to peers.
+    share_renew_ms : float
+        Time after which an instance with calls in flight confirms its counts.
+    share_refresh_ms : float
+        Time after which it tells all of its counts again.
+    ejection_share : float
+        Largest share of a service's targets that may be ejected at once.
+    cold_lease_s : float
+        Length of a lease on a target in cold start.
+    clock_skew_s : float
+        Largest difference assumed between the clocks of instances and log.
+    cold_settle_s : float
+        Time between a record of coldness and the first call under a lease.
+    warm_after_answers : int
+        Answers under a lease after which a target counts as warm.
+    """
+
+    policy: str = "shared"
+    oversubscription: float = 1.0
+    decay_service_times: float = 3.0
+    share_interval_ms: float = 5.0
+    share_idle_factor: float = 4.0
+    share_bytes_per_s: float = 20_000.0
+    share_renew_ms: float = 50.0
+    share_refresh_ms: float = 1_000.0
+    ejection_share: float = 0.5
+    ejection_base_s: float = 1.0
+    ejection_limit_s: float = 60.0
+    ejection_failures: int = 5
+    cold_lease_s: float = 10.0
+    clock_skew_s: float = 1.0
+    cold_settle_s: float = 0.5
+    cold_proposal_interval_s: float = 0.1
+    cold_rank_delay_s: float = 0.25
+    warm_after_answers: int = 5
+
+    def __post_init__(self) -> None:
+        _check_positive(self)
+        if not 0.0 <= self.ejection_share < 1.0:
+            raise ValueError(
+                f"ejection_share must be in [0, 1), got {self.ejection_share!r}"
+            )
+
+
+def _check_positive(settings: BalancingSettings) -> None:
+    for name in (
+        "oversubscription",
+        "decay_service_times",
+        "share_interval_ms",
+        "share_idle_factor",
+        "share_bytes_per_s",
+        "share_renew_ms",
+        "share_refresh_ms",
+        "ejection_base_s",
+        "ejection_limit_s",
+        "ejection_failures",
+        "cold_lease_s",
+        "warm_after_answers",
+    ):
+        value = getattr(settings, name)
+        if value <= 0:
+            raise ValueError(f"{name} must be positive, got {value!r}")
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/_sharing.py
@@ -0,0 +1,149 @@
+"""Exchange of calls in flight between instances."""
+
+from collections.abc import Iterable
+
+from baobabring.balancing._candidate import Candidate
+from baobabring.balancing._cold_start import ColdStartGuard
+from baobabring.balancing._peers import PeerLoad
+from baobabring.balancing._settings import BalancingSettings
+from baobabring.balancing._updates import (
+    ColdNotice,
+    InFlightUpdate,
+    TargetCount,
+    target_key,
+)
+
+UPDATE_BYTES = 48
+COUNT_BYTES = 7
+NOTICE_BYTES = 40
+BUCKET_S = 0.5
+SEQUENCES_PER_S = 1_000_000
+
+
+class InFlightSharing:
+    """Tell peers of own calls in flight, and take in theirs.
+
+    Parameters
+    ----------
+    peers : PeerLoad
+        Where peers' counts go.
+    cold_start : ColdStartGuard
+        Where notices of targets that turned cold come from and go to.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        settings: BalancingSettings,
+        peers: PeerLoad,
+        cold_start: ColdStartGuard,
+    ) -> None:
+        self._instance_id = instance_id
+        self._settings = settings
+        self._peers = peers
+        self._cold_start = cold_start
+        self._sequence = -1
+        self._counts: dict[str, int] = {}
+        self._sent: dict[str, int] = {}
+        self._changed: set[str] = set()
+        self._urgent = False
+        self._sent_at_s = 0.0
+        self._full_at_s = 0.0
+        self._budget_bytes = BUCKET_S * settings.share_bytes_per_s
+        self._budget_at_s = 0.0
+
+    def apply(self, update: InFlightUpdate, now_s: float) -> bool:
+        """Take in a peer's update; return False if it was late or repeated."""
+        if update.sender == self._instance_id:
+            return False
+        for notice in update.notices:
+            self._cold_start.notice(notice.target_id, notice.cold_epoch, now_s)
+        return self._peers.apply(update, now_s)
+
+    def forget(self, sender: str) -> None:
+        """Drop the counts of a peer that has gone."""
+        self._peers.forget(sender)
+
+    def count_changed(self, candidate: Candidate) -> None:
+        """Note that own calls in flight to a target changed."""
+        target_id = candidate.target_id
+        in_flight = candidate.own_in_flight
+        if in_flight:
+            self._counts[target_id] = in_flight
+        else:
+            self._counts.pop(target_id, None)
+        sent = self._sent.get(target_id, 0)
+        if sent == in_flight:
+            self._changed.discard(target_id)
+            return
+        self._changed.add(target_id)
+        # Peers' choices hardly depend on a target that has slots to spare.
+        load = max(sent, in_flight) + candidate.peers_in_flight
+        if load > 0.5 * candidate.slots:
+            self._urgent = True
+
+    def outgoing(self, now_s: float) -> InFlightUpdate | None:
+        """Return the update to send to peers now, if any is due."""
+        self._refill(now_s)
+        notices = self._cold_start.take_notices()
+        full = self._is_full_due(now_s)
+        if not notices and not full and not self._is_due(now_s):
+            return None
+        names = set(self._counts) if full else self._changed
+        size_bytes = (
+            UPDATE_BYTES + COUNT_BYTES * len(names) + NOTICE_BYTES * len(notices)
+        )
+        if not notices and size_bytes > self._budget_bytes:
+            return None
+        self._budget_bytes -= size_bytes
+        return self._build(now_s, full, names, notices)
+
+    def _build(
+        self,
+        now_s: float,
+        full: bool,
+        names: Iterable[str],
+        notices: tuple[ColdNotice, ...],
+    ) -> InFlightUpdate:
+        counts = tuple(
+            TargetCount(target_key(name), self._counts.get(name, 0))
+            for name in sorted(names)
+        )
+        if self._sequence < 0:
+            self._sequence = int(now_s * SEQUENCES_PER_S)
+        self._sequence += 1
+        self._sent = dict(self._counts)
+        self._changed = set()
+        self._urgent = False
+        self._sent_at_s = now_s
+        if full:
+            self._full_at_s = now_s
+        return InFlightUpdate(
+            self._instance_id, self._sequence, now_s, full, counts, notices
+        )
+
+    def _is_full_due(self, now_s: float) -> bool:
+        if not self._counts and not self._sent:
+            return False
+        return now_s - self._full_at_s >= self._settings.share_refresh_ms / 1000.0
+
+    def _is_due(self, now_s: float) -> bool:
+        since_ms = 1000.0 * (now_s - self._sent_at_s)
+        if self._counts and since_ms >= self._settings.share_renew_ms:
+            return True
+        if not self._changed:
+            return False
+        interval_ms = self._settings.share_interval_ms
+        if not self._urgent or self._is_short_of_budget():
+            interval_ms *= self._settings.share_idle_factor
+        return since_ms >= interval_ms
+
+    def _is_short_of_budget(self) -> bool:
+        bucket_bytes = BUCKET_S * self._settings.share_bytes_per_s
+        return self._budget_bytes < 0.5 * bucket_bytes
+
+    def _refill(self, now_s: float) -> None:
+        elapsed_s = max(0.0, now_s - self._budget_at_s)
+        rate = self._settings.share_bytes_per_s
+        self._budget_at_s = now_s
+        self._budget_bytes = min(BUCKET_S * rate, self._budget_bytes + elapsed_s * rate)
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/_two_choices.py
@@ -0,0 +1,41 @@
+"""Choice of the better of two random targets."""
+
+from collections.abc import Sequence
+from random import Random
+
+from baobabring.balancing._candidate import Candidate
+from baobabring.balancing._policy import POLICIES, TargetPolicy, pick
+
+
+@POLICIES.register("two-choices")
+class TwoChoicesPolicy(TargetPolicy):
+    """Take the one of two random targets with fewer own calls in flight."""
+
+    def choose(
+        self, candidates: Sequence[Candidate], now_s: float, rng: Random
+    ) -> Candidate:
+        """Return the better of two candidates drawn at random."""
+        first = pick(candidates, rng)
+        second = pick(candidates, rng)
+        if second.own_in_flight < first.own_in_flight:
+            return second
+        return first
+
+
+@POLICIES.register("two-choices-peak")
+class TwoChoicesPeakPolicy(TargetPolicy):
+    """Take the one of two random targets with the lower peak-sensitive cost."""
+
+    def choose(
+        self, candidates: Sequence[Candidate], now_s: float, rng: Random
+    ) -> Candidate:
+        """Return the better of two candidates by latency times load."""
+        first = pick(candidates, rng)
+        second = pick(candidates, rng)
+        if _peak_cost(second) < _peak_cost(first):
+            return second
+        return first
+
+
+def _peak_cost(candidate: Candidate) -> float:
+    return candidate.peak_latency_ms * (candidate.own_in_flight + 1)
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/tests/test_balancer.py
@@ -0,0 +1,148 @@
+"""Tests of the choice of targets and of its accounts."""
+
+import pytest
+
+from baobabring.balancing import BalancingSettings, InFlightUpdate, TargetCount
+from baobabring.balancing._updates import target_key
+from baobabring.balancing.tests.fakes import (
+    answered,
+    make_configuration,
+    make_target,
+    make_warm_balancer,
+)
+from baobabring.model import Lost, Reason, Shed, TargetState
+
+
+def chosen_targets(balancer, now_s: float) -> set[str | None]:
+    return {balancer.choose("menu", now_s) for _ in range(100)}
+
+
+def update(counts: dict[str, int], sequence: int, sent_at_s: float) -> InFlightUpdate:
+    shared = tuple(TargetCount(target_key(t), n) for t, n in counts.items())
+    return InFlightUpdate("peer", sequence, sent_at_s, False, shared)
+
+
+def test_choose_returns_none_when_all_slots_are_taken():
+    balancer = make_warm_balancer(count=1)
+    for _ in range(2):
+        assert balancer.choose("menu", 1.0) == "t0"
+        balancer.attempt_started("t0", 1.0)
+    assert balancer.choose("menu", 1.0) is None
+    balancer.attempt_ended("t0", answered(), 1.02)
+    assert balancer.has_room("menu", 1.02)
+
+
+def test_choose_returns_none_for_an_unknown_service():
+    assert make_warm_balancer().choose("trays", 1.0) is None
+
+
+def test_choose_leaves_out_excluded_targets():
+    balancer = make_warm_balancer(count=2)
+    assert balancer.choose("menu", 1.0, frozenset({"t0"})) == "t1"
+    assert balancer.choose("menu", 1.0, frozenset({"t0", "t1"})) is None
+
+
+def test_peers_calls_fill_slots_until_they_are_old():
+    balancer = make_warm_balancer(count=1)
+    balancer.sharing.apply(update({"t0": 2}, 1, 1.0), 1.0)
+    assert not balancer.has_room("menu", 1.0)
+    assert balancer.has_room("menu", 3.0)
+
+
+def test_oversubscription_allows_more_calls_than_slots():
+    balancer = make_warm_balancer(count=1, oversubscription=1.5)
+    for _ in range(3):
+        balancer.attempt_started(balancer.choose("menu", 1.0), 1.0)
+    assert balancer.choose("menu", 1.0) is None
+
+
+def test_policies_without_peers_see_own_calls_only():
+    balancer = make_warm_balancer(count=1, policy="two-choices")
+    balancer.sharing.apply(update({"t0": 2}, 1, 1.0), 1.0)
+    assert balancer.has_room("menu", 1.0)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        make_configuration([make_target(0), make_target(1)], 2, ("zone-0",)),
+        make_configuration([make_target(1)], 2),
+        make_configuration(
+            [make_target(0, state=TargetState.DRAINING), make_target(1)], 2
+        ),
+    ],
+    ids=["zone out", "removed", "draining"],
+)
+def test_leaving_target_gets_no_new_work_and_finishes_its_calls(change):
+    balancer = make_warm_balancer(count=2)
+    balancer.attempt_started("t0", 1.0)
+    balancer.configure(change, 1.1)
+    assert chosen_targets(balancer, 1.1) == {"t1"}
+    balancer.attempt_ended("t0", answered(), 1.2)
+
+
+def test_removed_target_is_known_until_its_calls_end():
+    balancer = make_warm_balancer(count=2)
+    balancer.attempt_started("t0", 1.0)
+    balancer.configure(make_configuration([make_target(1)], 2), 1.1)
+    assert balancer.target("t0").target_id == "t0"
+    balancer.attempt_ended("t0", None, 1.2)
+    with pytest.raises(KeyError):
+        balancer.target("t0")
+
+
+def test_calls_in_flight_survive_a_new_configuration():
+    balancer = make_warm_balancer(count=1)
+    balancer.attempt_started("t0", 1.0)
+    balancer.attempt_started("t0", 1.0)
+    balancer.configure(make_configuration([make_target(0), make_target(1)], 2), 1.1)
+    assert balancer.choose("menu", 1.1) is None
+
+
+def test_failing_target_is_ejected_and_comes_back_with_one_call():
+    balancer = make_warm_balancer(count=4)
+    for _ in range(5):
+        balancer.attempt_started("t0", 1.0)
+        balancer.attempt_ended("t0", answered(status=500), 1.0)
+    assert "t0" not in chosen_targets(balancer, 1.1)
+    others = frozenset({"t1", "t2", "t3"})
+    assert balancer.choose("menu", 2.5, others) == "t0"
+    balancer.attempt_started("t0", 2.5)
+    assert balancer.choose("menu", 2.5, others) is None
+    balancer.attempt_ended("t0", answered(), 2.5)
+
+
+def test_unreachable_target_comes_back_through_a_cold_start():
+    balancer = make_warm_balancer(count=4)
+    for _ in range(5):
+        balancer.attempt_started("t0", 1.0)
+        balancer.attempt_ended("t0", Shed(None, False), 1.0)
+    assert chosen_targets(balancer, 2.5) == {"t1", "t2", "t3"}
+    assert balancer.cold_start.due_proposal(3.0) is not None
+
+
+def test_nothing_is_ejected_when_all_targets_fail():
+    balancer = make_warm_balancer(count=4)
+    for _ in range(10):
+        for index in range(4):
+            balancer.attempt_started(f"t{index}", 1.0)
+            balancer.attempt_ended(f"t{index}", Lost(Reason.CONNECTION_LOST), 1.0)
+    assert len(chosen_targets(balancer, 1.0)) >= 2
+
+
+def test_same_seed_and_events_give_the_same_choices():
+    first, second = (make_warm_balancer(count=8) for _ in range(2))
+    choices = [[b.choose("menu", 1.0) for _ in range(50)] for b in (first, second)]
+    assert choices[0] == choices[1]
+
+
+def test_usable_capacity_counts_slots_of_usable_targets():
+    balancer = make_warm_balancer(count=3)
+    assert balancer.usable_capacity("menu", 1.0) == 6.0
+    balancer.configure(make_configuration([make_target(0)], 2), 1.1)
+    assert balancer.usable_capacity("menu", 1.1) == 2.0
+
+
+def test_settings_name_the_parameter_and_the_value():
+    with pytest.raises(ValueError, match="cold_lease_s must be positive, got 0"):
+        BalancingSettings(cold_lease_s=0)
