--- /dev/null
+++ b/packages/baobabring/baobabring/admission/_fifo.py
@@ -0,0 +1,50 @@
+"""First come, first served: the baseline."""
+
+import random
+from collections import deque
+
+from baobabring.admission._base import (
+    ADMISSION_QUEUES,
+    AdmissionQueue,
+    AdmissionSettings,
+    Offered,
+    Queued,
+    Refused,
+    Waiting,
+)
+
+
+@ADMISSION_QUEUES.register("fifo")
+class FifoQueue(AdmissionQueue):
+    """Serve calls in the order of their arrival, blind to tenant and priority."""
+
+    def __init__(self, settings: AdmissionSettings, rng: random.Random) -> None:
+        super().__init__(settings, rng)
+        self._queues: dict[str, deque[Waiting]] = {}
+
+    def _admit(self, waiting: Waiting, now_s: float) -> Offered:
+        queue = self._queues.setdefault(waiting.service_id, deque())
+        position = len(queue) + 1
+        full = len(queue) >= self.settings.service_limit
+        if full or not self._in_time(waiting, position, now_s):
+            return Refused(self.retry_at_s(waiting.service_id, now_s))
+        queue.append(waiting)
+        return Queued(position)
+
+    def _next(self, service_id: str) -> Waiting | None:
+        queue = self._queues.get(service_id)
+        return queue.popleft() if queue else None
+
+    def _return(self, waiting: Waiting) -> None:
+        self._queues.setdefault(waiting.service_id, deque()).appendleft(waiting)
+
+    def _discard(self, waiting: Waiting) -> None:
+        self._queues[waiting.service_id].remove(waiting)
+
+    def backlog(self, service_id: str) -> int:
+        """Return the number of calls that wait for the service."""
+        return len(self._queues.get(service_id, ()))
+
+    def waiting_services(self) -> list[str]:
+        """Return the services for which calls wait."""
+        return [service_id for service_id, queue in self._queues.items() if queue]
