--- /dev/null
+++ b/packages/baobabring/baobabring/probing/_budget.py
@@ -0,0 +1,51 @@
+"""One instance's part of the fleet's budget for probes."""
+
+MS_PER_S = 1000.0
+
+
+class ProbeBudget:
+    """Hold a token bucket of target time that starts empty and saves up little.
+
+    Parameters
+    ----------
+    fleet_ms_per_s : float
+        Target time that the whole fleet may spend on probes.
+    least_instances : int
+        Smallest number of instances to divide by.
+    depth_ms : float
+        Target time that one instance can save up.
+    """
+
+    def __init__(
+        self, fleet_ms_per_s: float, least_instances: int, depth_ms: float
+    ) -> None:
+        self.fleet_ms_per_s = fleet_ms_per_s
+        self.least_instances = least_instances
+        self.depth_ms = depth_ms
+        self.tokens_ms = 0.0
+        self._instances: int | None = None
+        self._refilled_at_s: float | None = None
+
+    def set_instances(self, instances: int, now_s: float) -> None:
+        """Divide by this many instances from now on."""
+        self._refill(now_s)
+        self._instances = max(instances, self.least_instances)
+
+    def available_ms(self, now_s: float) -> float:
+        """Return the target time that may be spent now."""
+        self._refill(now_s)
+        return self.tokens_ms
+
+    def spend(self, spent_ms: float) -> None:
+        """Take target time out; a debt is paid back before the next probe."""
+        self.tokens_ms -= spent_ms
+
+    def _refill(self, now_s: float) -> None:
+        last_s = now_s if self._refilled_at_s is None else self._refilled_at_s
+        self._refilled_at_s = max(now_s, last_s)
+        # Before the fleet's size is known, nothing may be spent.
+        if self._instances is None:
+            return
+        rate_ms_per_s = self.fleet_ms_per_s / self._instances
+        earned_ms = max(0.0, now_s - last_s) * rate_ms_per_s
+        self.tokens_ms = min(self.depth_ms, self.tokens_ms + earned_ms)
