Add the call engine, the shell towards callers and peers, and the node

Not runnable yet: it waits for the claims and the operators' calls. Nothing of this commit is proved beyond the tests of routing and settings.

--- /dev/null
+++ b/packages/baobabring/baobabring/callers/_answers.py
@@ -0,0 +1,101 @@
+"""Answers to callers, with the outcome in their headers."""
+
+import math
+from dataclasses import dataclass
+
+import falcon
+
+from baobabring.model import CallOutcome, Completed, NotRun, Reason
+
+BODY_KEPT_HEADER = "Baobab-Body-Kept"
+OUTCOME_HEADER = "Baobab-Outcome"
+REASON_HEADER = "Baobab-Reason"
+REPLAYED_HEADER = "Baobab-Replayed"
+REQUEST_ID_HEADER = "Baobab-Request-Id"
+RETRY_AFTER_MS_HEADER = "Baobab-Retry-After-Ms"
+TRIES_HEADER = "Baobab-Tries"
+
+MS_PER_S = 1_000
+
+NOT_RUN_STATUSES = {
+    Reason.BAD_REQUEST: 400,
+    Reason.KEY_REQUIRED: 400,
+    Reason.KEY_INVALID: 400,
+    Reason.NO_SERVICE: 404,
+    Reason.TOO_LARGE: 413,
+    Reason.KEY_REUSED: 422,
+    Reason.OVERLOAD: 429,
+}
+NOT_RUN_STATUS = 503
+UNKNOWN_STATUSES = {Reason.IN_PROGRESS: 409}
+UNKNOWN_STATUS = 504
+
+# These come back the same however often the caller tries.
+FINAL_REASONS = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.KEY_REQUIRED,
+        Reason.KEY_INVALID,
+        Reason.KEY_REUSED,
+        Reason.NO_SERVICE,
+        Reason.TOO_LARGE,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """Hold the final outcome of a call with the targets tried, in order."""
+
+    call_id: str
+    outcome: CallOutcome
+    tries: tuple[str, ...] = ()
+
+
+def outcome_name(outcome: CallOutcome) -> str:
+    """Return the name that the outcome header and the metrics use."""
+    if isinstance(outcome, Completed):
+        return "completed"
+    return "not-run" if isinstance(outcome, NotRun) else "unknown"
+
+
+def write_answer(response: falcon.Response, result: CallResult, now_s: float) -> None:
+    """Fill in the response to a caller."""
+    outcome = result.outcome
+    response.set_header(OUTCOME_HEADER, outcome_name(outcome))
+    response.set_header(REQUEST_ID_HEADER, result.call_id)
+    if result.tries:
+        response.set_header(TRIES_HEADER, ",".join(result.tries))
+    if isinstance(outcome, Completed):
+        _write_completed(response, outcome)
+    else:
+        _write_refusal(response, outcome, now_s)
+
+
+def _write_completed(response: falcon.Response, outcome: Completed) -> None:
+    response.status = outcome.answer.status
+    response.content_type = None
+    for name, value in outcome.answer.headers:
+        if name.lower() == "content-type":
+            response.content_type = value
+        else:
+            response.append_header(name, value)
+    if outcome.replayed:
+        response.set_header(REPLAYED_HEADER, "1")
+    if not outcome.body_kept:
+        response.set_header(BODY_KEPT_HEADER, "0")
+    response.data = outcome.answer.body
+
+
+def _write_refusal(response: falcon.Response, outcome, now_s: float) -> None:
+    reason = outcome.reason
+    if isinstance(outcome, NotRun):
+        response.status = NOT_RUN_STATUSES.get(reason, NOT_RUN_STATUS)
+    else:
+        response.status = UNKNOWN_STATUSES.get(reason, UNKNOWN_STATUS)
+    response.set_header(REASON_HEADER, reason.value)
+    if reason not in FINAL_REASONS:
+        wait_s = max(outcome.retry_at_s - now_s, 0.0)
+        response.set_header("Retry-After", str(math.ceil(wait_s)))
+        response.set_header(RETRY_AFTER_MS_HEADER, str(math.ceil(wait_s * MS_PER_S)))
+    response.media = {"outcome": outcome_name(outcome), "reason": reason.value}
--- a/packages/baobabring/baobabring/model/_outcomes.py
+++ b/packages/baobabring/baobabring/model/_outcomes.py
@@ -42,6 +42,7 @@
 
     answer: Answer
     replayed: bool = False
+    body_kept: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/baobabring/baobabring/peers/_frames.py
@@ -0,0 +1,86 @@
+"""Framing of the messages between instances."""
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgspec
+
+from baobabring.balancing import InFlightUpdate
+from baobabring.membership import Heartbeat
+from baobabring.probing import SharedProbe
+
+PROTOCOL_VERSION = 1
+
+
+class StateRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Ask a peer for its configuration state, when it is newer than `revision`."""
+
+    sender: str
+    reply_address: str
+    revision: int
+
+
+class StateReply(msgspec.Struct, array_like=True, frozen=True):
+    """Pass a configuration state on as a snapshot payload."""
+
+    sender: str
+    payload: bytes
+
+
+PeerMessage = Heartbeat | InFlightUpdate | StateRequest | StateReply | SharedProbe
+
+
+class MessageKind(IntEnum):
+    """Tell which message a frame holds."""
+
+    HEARTBEAT = 1
+    IN_FLIGHT = 2
+    STATE_REQUEST = 3
+    STATE_REPLY = 4
+    PROBE = 5
+
+
+MESSAGE_TYPES = {
+    MessageKind.HEARTBEAT: Heartbeat,
+    MessageKind.IN_FLIGHT: InFlightUpdate,
+    MessageKind.STATE_REQUEST: StateRequest,
+    MessageKind.STATE_REPLY: StateReply,
+    MessageKind.PROBE: SharedProbe,
+}
+KINDS = {message_type: kind for kind, message_type in MESSAGE_TYPES.items()}
+HEADER_BYTES = 2
+
+_encoder = msgspec.msgpack.Encoder()
+_decoders = {
+    kind: msgspec.msgpack.Decoder(message_type)
+    for kind, message_type in MESSAGE_TYPES.items()
+}
+
+
+@dataclass(frozen=True, slots=True)
+class BadFrame:
+    """Say why a frame can't be read."""
+
+    problem: str
+
+
+def encode_message(message: PeerMessage) -> bytes:
+    """Return the frame of a message."""
+    kind = KINDS[type(message)]
+    return bytes((PROTOCOL_VERSION, kind)) + _encoder.encode(message)
+
+
+def decode_message(frame: bytes) -> PeerMessage | BadFrame:
+    """Return the message in a frame, or what is wrong with the frame."""
+    if len(frame) < HEADER_BYTES:
+        return BadFrame("too short")
+    version, kind = frame[0], frame[1]
+    if version != PROTOCOL_VERSION:
+        return BadFrame(f"version {version}")
+    decoder = _decoders.get(kind)
+    if decoder is None:
+        return BadFrame(f"kind {kind}")
+    try:
+        return decoder.decode(memoryview(frame)[HEADER_BYTES:])
+    except msgspec.MsgspecError as error:
+        return BadFrame(str(error))
--- a/packages/baobabring/baobabring/platform/_base.py
+++ b/packages/baobabring/baobabring/platform/_base.py
@@ -38,7 +38,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """Hold consecutive records; the first retained offset shows what has expired."""
+    """Hold consecutive records, perhaps not all up to the end of the stream.
+
+    `earliest_offset` is that of the first record retained, `next_offset` the one
+    that the next append would get. A reader goes on after the last record given.
+    """
 
     earliest_offset: int
     next_offset: int
--- /dev/null
+++ b/packages/baobabring/baobabring/program/_cold_start_task.py
@@ -0,0 +1,45 @@
+"""Task that reads and proposes leases on targets in cold start."""
+
+import asyncio
+
+from baobabring.balancing import COLD_STREAM, ColdStartGuard
+from baobabring.platform import EventLog, ReadFailed
+from baobabring.program._metrics import count_append
+from baobabring.utils import Clock
+
+READ_WAIT_MS = 500
+READ_RETRY_S = 0.2
+PROPOSAL_STEP_S = 0.05
+APPEND_LIMIT_S = 2.0
+
+
+class ColdStartTask:
+    """Connect the guard of cold starts to its stream of the log."""
+
+    def __init__(self, guard: ColdStartGuard, log: EventLog, clock: Clock) -> None:
+        self.guard = guard
+        self.log = log
+        self.clock = clock
+
+    async def read(self) -> None:
+        """Read the stream until cancelled."""
+        while True:
+            offset = self.guard.next_offset
+            page = await self.log.read(COLD_STREAM, offset, READ_WAIT_MS)
+            if isinstance(page, ReadFailed):
+                await asyncio.sleep(READ_RETRY_S)
+            else:
+                self.guard.apply_page(page, self.clock.now_s())
+
+    async def propose(self) -> None:
+        """Append proposals until cancelled."""
+        while True:
+            await asyncio.sleep(PROPOSAL_STEP_S)
+            now_s = self.clock.now_s()
+            payload = self.guard.due_proposal(now_s)
+            if payload is not None:
+                # What became of it is seen when the stream is read.
+                outcome = await self.log.append(
+                    COLD_STREAM, payload, now_s + APPEND_LIMIT_S
+                )
+                count_append(COLD_STREAM, outcome)
--- /dev/null
+++ b/packages/baobabring/baobabring/program/_control_plane.py
@@ -0,0 +1,140 @@
+"""What the operators' calls do at an instance."""
+
+import asyncio
+
+from baobabring.claims import (
+    ClaimCoordinator,
+    SettlementState,
+    SettleRequested,
+)
+from baobabring.claims import Settlement as ClaimSettlement
+from baobabring.configuration import Change
+from baobabring.membership import Member
+from baobabring.model import Configuration
+from baobabring.operators import (
+    ControlPlane,
+    InstanceStatus,
+    NotSettleable,
+    ReportedState,
+    Settled,
+    Settlement,
+    SettlementOutcome,
+    UnknownOutcome,
+)
+from baobabring.program._claims_task import ClaimsTask
+from baobabring.program._membership_task import MembershipTask
+from baobabring.publication import (
+    ConfigurationPublisher,
+    ProposalOutcome,
+    Unconfirmed,
+)
+from baobabring.utils import Clock
+
+MS_PER_S = 1_000
+POLL_S = 0.02
+MAX_AGE_MS = 2**32 - 1
+
+CLAIM_SETTLEMENTS = {
+    Settlement.RAN: ClaimSettlement.RAN,
+    Settlement.NOT_RUN: ClaimSettlement.NOT_RUN,
+}
+
+
+class NodeControlPlane(ControlPlane):
+    """Carry out the operators' calls by the parts of an instance."""
+
+    def __init__(
+        self,
+        publisher: ConfigurationPublisher,
+        membership: MembershipTask,
+        claims: ClaimCoordinator,
+        claims_task: ClaimsTask,
+        clock: Clock,
+    ) -> None:
+        self.publisher = publisher
+        self.membership = membership
+        self.claims = claims
+        self.claims_task = claims_task
+        self.clock = clock
+
+    async def propose(
+        self,
+        base_revision: int,
+        change: Change,
+        deadline_s: float,
+        change_id: str | None = None,
+    ) -> ProposalOutcome:
+        """Publish a change; with the id of an earlier try, it is applied once."""
+        return await self.publisher.propose(
+            base_revision, change, deadline_s, change_id
+        )
+
+    def configuration(self) -> Configuration:
+        """Return the newest configuration known here."""
+        return self.publisher.reader.configuration
+
+    def instances(self) -> tuple[InstanceStatus, ...]:
+        """Return the instances known here, this one included."""
+        own = InstanceStatus(
+            instance_id=self.membership.info.instance_id,
+            zone=self.membership.info.zone,
+            state=ReportedState(self.membership.state.value),
+            revision=self.configuration().revision,
+            heartbeat_age_ms=0,
+            confirmed_age_ms=self._age_ms(self.membership.tracker.confirmed_at_s),
+        )
+        peers = [self._peer_status(member) for member in self.membership.members()]
+        return (own, *sorted(peers, key=lambda peer: peer.instance_id))
+
+    def _peer_status(self, member: Member) -> InstanceStatus:
+        heartbeat = member.heartbeat
+        return InstanceStatus(
+            instance_id=member.instance_id,
+            zone=member.zone,
+            state=ReportedState(member.state.value),
+            revision=heartbeat.revision if heartbeat else 0,
+            heartbeat_age_ms=self._age_ms(member.heard_at_s or 0.0),
+            confirmed_age_ms=self._age_ms(
+                heartbeat.confirmed_at_s if heartbeat else 0.0
+            ),
+        )
+
+    def _age_ms(self, at_s: float) -> int:
+        age_ms = int((self.clock.now_s() - at_s) * MS_PER_S)
+        return min(max(age_ms, 0), MAX_AGE_MS)
+
+    def unknown_outcomes(self) -> tuple[UnknownOutcome, ...]:
+        """Return the unknown outcomes known here."""
+        return tuple(
+            UnknownOutcome(
+                service_id=outcome.service_id,
+                key=outcome.key,
+                method=outcome.method,
+                path=outcome.path,
+                tenant=outcome.tenant,
+                instance_id=outcome.instance_id,
+                claimed_at_s=outcome.claimed_at_s,
+            )
+            for outcome in self.claims.unknown_outcomes(self.clock.now_s())
+        )
+
+    async def settle(
+        self, service_id: str, key: str, settlement: Settlement, deadline_s: float
+    ) -> SettlementOutcome:
+        """Record what became of a call whose outcome is unknown."""
+        requested = self.claims.settle(
+            service_id, key, CLAIM_SETTLEMENTS[settlement], self.clock.now_s()
+        )
+        if not isinstance(requested, SettleRequested):
+            return NotSettleable(requested.reason.value)
+        while self.clock.now_s() < deadline_s:
+            self.claims_task.flush()
+            state = self.claims.settlement_state(requested.settlement_id)
+            if state is SettlementState.ACCEPTED:
+                return Settled()
+            if state is SettlementState.REJECTED:
+                return NotSettleable("the outcome was settled otherwise meanwhile")
+            await asyncio.sleep(POLL_S)
+        return Unconfirmed(
+            requested.settlement_id.hex(), "the log did not confirm in time"
+        )
--- /dev/null
+++ b/packages/baobabring/baobabring/program/_dispatcher.py
@@ -0,0 +1,205 @@
+"""Task side of the call engine: turns its commands into traffic."""
+
+import asyncio
+import secrets
+from collections.abc import Callable, Iterable
+
+import logbook
+
+from baobabring.callers import CallHandler, CallResult, outcome_name
+from baobabring.calls import (
+    AnswerCall,
+    CallEngine,
+    CancelAttempt,
+    Router,
+    StartAttempt,
+)
+from baobabring.claims import ClaimEvent
+from baobabring.model import Call, Completed, Configuration, Lost, Reason
+from baobabring.probing import ProbeScheduler
+from baobabring.program._metrics import (
+    ATTEMPTS,
+    CALL_SECONDS,
+    CALLS,
+    CALLS_IN_PROGRESS,
+    TENANT_CALL_SECONDS,
+    TenantLabels,
+)
+from baobabring.targets import AttemptPlan, TargetClient
+from baobabring.utils import Clock
+
+CALL_ID_BYTES = 6
+
+LOG = logbook.Logger("calls")
+
+
+class Dispatcher(CallHandler):
+    """Carry calls through the engine to targets and back."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        engine: CallEngine,
+        client: TargetClient,
+        prober: ProbeScheduler,
+        clock: Clock,
+    ) -> None:
+        self.engine = engine
+        self.client = client
+        self.prober = prober
+        self.clock = clock
+        self._call_id_prefix = f"{instance_id}-{secrets.token_hex(CALL_ID_BYTES)}"
+        self._call_count = 0
+        self._futures: dict[str, asyncio.Future[CallResult]] = {}
+        self._attempts: dict[tuple[str, int], asyncio.Task] = {}
+        self._router = Router(Configuration())
+        self._tenant_labels = TenantLabels()
+        self._ready = False
+        self._leaving = False
+        self._service_ids: tuple[str, ...] = ()
+        self._flush_claims: Callable[[], None] | None = None
+
+    # What callers need
+
+    def router(self) -> Router:
+        """Return the router of the configuration in force."""
+        return self._router
+
+    def new_call_id(self) -> str:
+        """Return an id that no other call of the fleet has."""
+        self._call_count += 1
+        return f"{self._call_id_prefix}-{self._call_count}"
+
+    def submit(self, call: Call) -> asyncio.Future[CallResult]:
+        """Start a call; the future ends with its outcome."""
+        future = asyncio.get_running_loop().create_future()
+        self._futures[call.call_id] = future
+        self.engine.arrive(call, self.clock.now_s())
+        self.run_commands()
+        if call.key is not None:
+            self._flush_claims()
+        return future
+
+    def caller_left(self, call_id: str) -> None:
+        """Take in that a caller has gone away."""
+        self.engine.caller_left(call_id, self.clock.now_s())
+        self.run_commands()
+
+    def ready(self) -> bool:
+        """Tell whether the platform's balancer should send calls here."""
+        return self._ready
+
+    def now_s(self) -> float:
+        """Return the time by which calls are measured."""
+        return self.clock.now_s()
+
+    # What the node needs
+
+    def set_ready(self, ready: bool) -> None:
+        """Set what the platform's balancer is told."""
+        self._ready = ready
+
+    def configure(self, configuration: Configuration) -> None:
+        """Route by a new configuration from now on."""
+        self._router = Router(configuration)
+        self._service_ids = tuple(configuration.services)
+
+    def set_claims_flush(self, flush: Callable[[], None]) -> None:
+        """Call `flush` whenever claims may be waiting to be appended."""
+        self._flush_claims = flush
+
+    def share_capacity(self, live_instances: int) -> None:
+        """Take an equal share of what the targets bear."""
+        self.engine.share_capacity(
+            self._service_ids, live_instances, self.clock.now_s()
+        )
+
+    def start_leaving(self) -> None:
+        """Tell callers to open their next connections elsewhere."""
+        self._ready = False
+        self._leaving = True
+
+    def leaving(self) -> bool:
+        """Tell whether this instance is shutting down."""
+        return self._leaving
+
+    def apply_claim_events(self, events: Iterable[ClaimEvent]) -> None:
+        """Hand on what became of claims."""
+        self.engine.apply_claim_events(events, self.clock.now_s())
+        self.run_commands()
+
+    def allow_work(self, allowed: bool) -> None:
+        """Allow or forbid new work at targets."""
+        self.engine.allow_work(allowed, self.clock.now_s())
+        self.run_commands()
+
+    def tick(self) -> None:
+        """Let time pass in the engine."""
+        self.engine.tick(self.clock.now_s())
+        self.run_commands()
+        CALLS_IN_PROGRESS.set(self.engine.calls_in_progress)
+
+    def idle(self) -> bool:
+        """Tell whether every call has its final answer."""
+        return self.engine.calls_in_progress == 0
+
+    def run_commands(self) -> None:
+        """Carry out what the engine has decided."""
+        for command in self.engine.take_commands():
+            if isinstance(command, StartAttempt):
+                self._start_attempt(command)
+            elif isinstance(command, CancelAttempt):
+                self._cancel_attempt(command)
+            else:
+                self._answer(command)
+
+    def _start_attempt(self, command: StartAttempt) -> None:
+        task = asyncio.ensure_future(self._attempt(command))
+        self._attempts[command.call.call_id, command.attempt] = task
+
+    async def _attempt(self, command: StartAttempt) -> None:
+        plan = AttemptPlan(
+            call=command.call,
+            address=command.address,
+            deadline_s=command.deadline_s,
+            retries_left=command.retries_left,
+            new_connection=command.new_connection,
+        )
+        try:
+            outcome = await self.client.attempt(plan)
+        except Exception:
+            # The request may have gone out, whatever broke.
+            LOG.exception("attempt failed", call=plan.call.call_id)
+            outcome = Lost(Reason.CONNECTION_LOST)
+        call = command.call
+        self._attempts.pop((call.call_id, command.attempt), None)
+        ATTEMPTS.labels(call.service_id, type(outcome).__name__.lower()).inc()
+        now_s = self.clock.now_s()
+        self.prober.traffic_seen(command.target_id, now_s)
+        self.engine.attempt_ended(call.call_id, command.attempt, outcome, now_s)
+        self.run_commands()
+
+    def _cancel_attempt(self, command: CancelAttempt) -> None:
+        task = self._attempts.pop((command.call_id, command.attempt), None)
+        if task is not None:
+            task.cancel()
+
+    def _answer(self, command: AnswerCall) -> None:
+        self._count(command)
+        call_id = command.call.call_id
+        future = self._futures.pop(call_id, None)
+        if future is not None and not future.done():
+            future.set_result(CallResult(call_id, command.outcome, command.tries))
+
+    def _count(self, command: AnswerCall) -> None:
+        call = command.call
+        elapsed_s = self.clock.now_s() - call.arrived_at_s
+        request_class = call.rule.request_class
+        CALL_SECONDS.labels(call.service_id, request_class).observe(elapsed_s)
+        tenant = self._tenant_labels.label(call.tenant)
+        TENANT_CALL_SECONDS.labels(tenant).observe(elapsed_s)
+        outcome = command.outcome
+        reason = "" if isinstance(outcome, Completed) else outcome.reason.value
+        CALLS.labels(
+            call.service_id, request_class, outcome_name(outcome), reason
+        ).inc()
--- /dev/null
+++ b/packages/baobabring/baobabring/program/_metrics.py
@@ -0,0 +1,91 @@
+"""Counters and histograms of an instance."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+from baobabring.platform import AppendOutcome
+
+LATENCY_BUCKETS_S = (
+    0.001,
+    0.002,
+    0.004,
+    0.008,
+    0.016,
+    0.032,
+    0.064,
+    0.128,
+    0.256,
+    0.512,
+    1.024,
+    2.048,
+    4.096,
+    8.192,
+)
+MAX_TENANT_LABELS = 100
+OTHER_TENANTS = "other"
+
+CALL_SECONDS = Histogram(
+    "baobabring_call_seconds",
+    "Time from arrival to final answer.",
+    ("service", "request_class"),
+    buckets=LATENCY_BUCKETS_S,
+)
+TENANT_CALL_SECONDS = Histogram(
+    "baobabring_tenant_call_seconds",
+    "Time from arrival to final answer.",
+    ("tenant",),
+    buckets=LATENCY_BUCKETS_S,
+)
+CALLS = Counter(
+    "baobabring_calls_total",
+    "Calls by final outcome; the reason is empty for completed ones.",
+    ("service", "request_class", "outcome", "reason"),
+)
+ATTEMPTS = Counter(
+    "baobabring_attempts_total",
+    "Attempts at targets by how they ended.",
+    ("service", "outcome"),
+)
+PROBES = Counter("baobabring_probes_total", "Probes sent to targets.")
+PEER_MESSAGES = Counter(
+    "baobabring_peer_messages_total",
+    "Messages between instances.",
+    ("direction", "kind"),
+)
+PEER_BYTES = Counter(
+    "baobabring_peer_bytes_total", "Bytes between instances.", ("direction", "kind")
+)
+LOG_APPENDS = Counter(
+    "baobabring_log_appends_total",
+    "Appends to the platform's log by outcome.",
+    ("stream", "outcome"),
+)
+CALLS_IN_PROGRESS = Gauge(
+    "baobabring_calls_in_progress", "Calls without a final answer."
+)
+REVISION = Gauge("baobabring_configuration_revision", "Revision in force.")
+CONFIRMED_AGE = Gauge(
+    "baobabring_configuration_confirmed_age_seconds",
+    "Time since the configuration was last confirmed as the newest.",
+)
+
+
+class TenantLabels:
+    """Bound the number of tenants that get a label of their own."""
+
+    def __init__(self, limit: int = MAX_TENANT_LABELS) -> None:
+        self.limit = limit
+        self._known: set[str] = set()
+
+    def label(self, tenant: str) -> str:
+        """Return the label for a tenant."""
+        if tenant in self._known:
+            return tenant
+        if len(self._known) >= self.limit:
+            return OTHER_TENANTS
+        self._known.add(tenant)
+        return tenant
+
+
+def count_append(stream: str, outcome: AppendOutcome) -> None:
+    """Count an append to the log by how it ended."""
+    LOG_APPENDS.labels(stream, type(outcome).__name__).inc()
--- /dev/null
+++ b/packages/baobabring/baobabring/program/_node.py
@@ -0,0 +1,205 @@
+"""Life of an instance: start, run, leave."""
+
+import asyncio
+import contextlib
+import signal
+
+import logbook
+import uvicorn
+
+from baobabring.callers import create_app
+from baobabring.model import Configuration
+from baobabring.operators import create_operators_server, read_certificates
+from baobabring.program._control_plane import NodeControlPlane
+from baobabring.program._metrics import REVISION
+from baobabring.program._parts import Parts, create_parts
+from baobabring.settings import Settings
+
+LOG = logbook.Logger("node")
+
+TICK_S = 0.005
+SLOW_TICKS = 20
+IDLE_POLL_S = 0.02
+LEAVE_LIMIT_S = 60.0
+RPC_GRACE_S = 1.0
+MS_PER_S = 1_000
+BACKLOG_CONNECTIONS = 2_048
+
+
+class _CallerServer(uvicorn.Server):
+    """Server that leaves signals to the node."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Capture nothing."""
+        yield
+
+
+class Node:
+    """Run the parts of an instance until it is told to leave."""
+
+    def __init__(self, settings: Settings, parts: Parts) -> None:
+        self.settings = settings
+        self.parts = parts
+        self._leaving = asyncio.Event()
+        self._may_start_work = False
+        self._server = _create_caller_server(settings, parts)
+
+    async def run(self) -> None:
+        """Serve until a signal, then leave without cutting anything off."""
+        self._connect()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._leaving.set)
+        operators = self._create_operators()
+        await operators.start()
+        tasks = asyncio.gather(*self._tasks())
+        serving = asyncio.ensure_future(self._server.serve())
+        leaving = asyncio.ensure_future(self._leaving.wait())
+        await asyncio.wait(
+            (tasks, serving, leaving), return_when=asyncio.FIRST_COMPLETED
+        )
+        await self._leave(serving)
+        leaving.cancel()
+        tasks.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await tasks
+        await operators.stop(RPC_GRACE_S)
+        await self._close()
+
+    def _connect(self) -> None:
+        parts = self.parts
+        parts.link.start()
+        parts.claims_task.start(parts.dispatcher.apply_claim_events)
+        parts.dispatcher.set_claims_flush(parts.claims_task.flush)
+        parts.reader.add_listener(self._configure)
+        if self.settings.peers.key_file is None:
+            LOG.warning("peers are not authenticated; set [peers] key_file")
+        if self.settings.operators.authority_file is None:
+            LOG.warning("operators are not authenticated; set [operators] files")
+
+    def _create_operators(self):
+        parts = self.parts
+        control_plane = NodeControlPlane(
+            parts.publisher,
+            parts.membership,
+            parts.claims,
+            parts.claims_task,
+            parts.clock,
+        )
+        section = self.settings.operators
+        certificates = None
+        if section.authority_file is not None:
+            certificates = read_certificates(
+                section.authority_file, section.certificate_file, section.key_file
+            )
+        return create_operators_server(control_plane, section.address, certificates)
+
+    def _tasks(self):
+        parts = self.parts
+        return (
+            parts.reader.run(),
+            parts.membership.run_list(),
+            parts.membership.run_heartbeats(),
+            parts.claims_task.run(),
+            parts.cold_start_task.read(),
+            parts.cold_start_task.propose(),
+            parts.sharing_task.run(),
+            parts.probe_task.run(),
+            self._tick(),
+        )
+
+    def _configure(self, configuration: Configuration) -> None:
+        parts = self.parts
+        now_s = parts.clock.now_s()
+        parts.balancer.configure(configuration, now_s)
+        parts.dispatcher.configure(configuration)
+        parts.probe_task.scheduler.set_targets(_targets_in_use(configuration), now_s)
+        REVISION.set(configuration.revision)
+
+    async def _tick(self) -> None:
+        count = 0
+        while True:
+            if count % SLOW_TICKS == 0:
+                self._adopt_view()
+            count += 1
+            self.parts.claims_task.tick()
+            self.parts.dispatcher.tick()
+            await asyncio.sleep(TICK_S)
+
+    def _adopt_view(self) -> None:
+        """Hand the view of the fleet to the parts that divide something by it."""
+        parts = self.parts
+        now_s = parts.clock.now_s()
+        live = parts.membership.live()
+        fleet_size = parts.membership.membership.fleet_size(now_s)
+        parts.balancer.cold_start.set_live(live)
+        parts.claims.set_live_instances(fleet_size, now_s)
+        parts.probe_task.scheduler.set_instances(live, fleet_size, now_s)
+        parts.dispatcher.share_capacity(len(live))
+        self._judge_confirmation()
+
+    def _judge_confirmation(self) -> None:
+        may_start_work = self.parts.membership.may_start_work()
+        if may_start_work != self._may_start_work:
+            self._may_start_work = may_start_work
+            LOG.info("new work", allowed=may_start_work)
+            self.parts.dispatcher.allow_work(may_start_work)
+        leaving = self._leaving.is_set()
+        self.parts.dispatcher.set_ready(may_start_work and not leaving)
+
+    async def _leave(self, serving: asyncio.Future) -> None:
+        LOG.info("leaving")
+        self._leaving.set()
+        self.parts.dispatcher.start_leaving()
+        await self.parts.membership.leave()
+        await asyncio.sleep(self.settings.callers.leave_lag_ms / MS_PER_S)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_LIMIT_S):
+                await self._wait_idle()
+        self._server.should_exit = True
+        await serving
+        LOG.info("left")
+
+    async def _wait_idle(self) -> None:
+        parts = self.parts
+        while not (parts.dispatcher.idle() and parts.claims.idle()):
+            await asyncio.sleep(IDLE_POLL_S)
+
+    async def _close(self) -> None:
+        self.parts.link.transport.close()
+        await self.parts.client.close()
+        await self.parts.session.close()
+
+
+def _targets_in_use(configuration: Configuration) -> list[str]:
+    return [
+        target.target_id
+        for service in configuration.services.values()
+        for target in service.targets
+        if target.zone not in configuration.zones_out
+    ]
+
+
+def _create_caller_server(settings: Settings, parts: Parts) -> uvicorn.Server:
+    host, _, port = settings.callers.address.rpartition(":")
+    app = create_app(parts.dispatcher, settings.callers.body_limit_bytes)
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=int(port),
+        http="httptools",
+        loop="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        backlog=BACKLOG_CONNECTIONS,
+    )
+    return _CallerServer(config)
+
+
+async def run_node(settings: Settings) -> None:
+    """Run an instance with these settings until it has left."""
+    await Node(settings, create_parts(settings)).run()
--- /dev/null
+++ b/packages/baobabring/baobabring/program/_peer_link.py
@@ -0,0 +1,89 @@
+"""Typed messages to and from all peers, counted."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import logbook
+
+from baobabring.peers import (
+    BadFrame,
+    PeerMessage,
+    PeerTransport,
+    decode_message,
+    encode_message,
+)
+from baobabring.program._metrics import PEER_BYTES, PEER_MESSAGES
+
+LOG = logbook.Logger("peers")
+
+MessageHandler = Callable[[PeerMessage], None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Counters:
+    """Hold the two counters of one kind of message in one direction."""
+
+    messages: object
+    size_bytes: object
+
+
+class PeerLink:
+    """Send messages to peers and hand theirs to subscribers."""
+
+    def __init__(self, transport: PeerTransport) -> None:
+        self.transport = transport
+        self._addresses: frozenset[str] = frozenset()
+        self._handlers: dict[type, MessageHandler] = {}
+        self._counters: dict[tuple[str, str], _Counters] = {}
+
+    def start(self) -> None:
+        """Begin to hear."""
+        self.transport.start(self._on_frame)
+
+    def subscribe(self, message_type: type, handler: MessageHandler) -> None:
+        """Call `handler` with each message of a type."""
+        self._handlers[message_type] = handler
+
+    def set_peers(self, addresses: frozenset[str]) -> None:
+        """Take the addresses that broadcasts go to."""
+        self._addresses = addresses
+        self.transport.keep_only(addresses)
+
+    def broadcast(self, message: PeerMessage) -> None:
+        """Send a message to every peer."""
+        frame = encode_message(message)
+        for address in self._addresses:
+            self._send(address, frame, type(message).__name__)
+
+    def send(self, address: str, message: PeerMessage) -> None:
+        """Send a message to one peer."""
+        self._send(address, encode_message(message), type(message).__name__)
+
+    def reconnect(self, address: str) -> None:
+        """Open a new connection to a peer at the next send."""
+        self.transport.reconnect(address)
+
+    def _send(self, address: str, frame: bytes, kind: str) -> None:
+        sent = self.transport.send(address, frame)
+        self._count("sent" if sent else "dropped", kind, len(frame))
+
+    def _on_frame(self, frame: bytes) -> None:
+        message = decode_message(frame)
+        self._count("received", type(message).__name__, len(frame))
+        if isinstance(message, BadFrame):
+            LOG.debug("bad frame", problem=message.problem)
+            return
+        handler = self._handlers.get(type(message))
+        if handler is not None:
+            handler(message)
+
+    def _count(self, direction: str, kind: str, size_bytes: int) -> None:
+        counters = self._counters.get((direction, kind))
+        if counters is None:
+            counters = _Counters(
+                PEER_MESSAGES.labels(direction, kind),
+                PEER_BYTES.labels(direction, kind),
+            )
+            self._counters[direction, kind] = counters
+        counters.messages.inc()
+        counters.size_bytes.inc(size_bytes)
--- /dev/null
+++ b/packages/baobabring/baobabring/program/_probe_task.py
@@ -0,0 +1,57 @@
+"""Task that probes targets within the fleet's budget."""
+
+import asyncio
+
+from baobabring.balancing import Balancer
+from baobabring.probing import ProbeScheduler, SharedProbe
+from baobabring.program._metrics import PROBES
+from baobabring.program._peer_link import PeerLink
+from baobabring.targets import TargetClient
+from baobabring.utils import Clock
+
+STEP_S = 0.05
+
+
+class ProbeTask:
+    """Probe what traffic doesn't show, and share what was found."""
+
+    def __init__(
+        self,
+        scheduler: ProbeScheduler,
+        balancer: Balancer,
+        client: TargetClient,
+        link: PeerLink,
+        clock: Clock,
+    ) -> None:
+        self.scheduler = scheduler
+        self.balancer = balancer
+        self.client = client
+        self.link = link
+        self.clock = clock
+        self._probes: set[asyncio.Task] = set()
+        link.subscribe(SharedProbe, self.scheduler.apply_shared)
+
+    async def run(self) -> None:
+        """Start probes that are due until cancelled."""
+        while True:
+            await asyncio.sleep(STEP_S)
+            for target_id in self.scheduler.due(self.clock.now_s()):
+                task = asyncio.ensure_future(self._probe(target_id))
+                self._probes.add(task)
+                task.add_done_callback(self._probes.discard)
+
+    async def _probe(self, target_id: str) -> None:
+        PROBES.inc()
+        report = await self._ask(target_id)
+        now_s = self.clock.now_s()
+        if report is not None:
+            self.balancer.report(target_id, report, now_s)
+        shared = self.scheduler.probe_ended(target_id, report is not None, now_s)
+        self.link.broadcast(shared)
+
+    async def _ask(self, target_id: str):
+        try:
+            address = self.balancer.target(target_id).address
+        except KeyError:
+            return None
+        return await self.client.probe(address)
--- a/packages/baobabring/baobabring/settings/_models.py
+++ b/packages/baobabring/baobabring/settings/_models.py
@@ -50,8 +50,7 @@
 
     address: Address
     heartbeat_interval_ms: Count = 500
-    secret_key_file: Path | None = None
-    peer_public_key: str | None = None
+    key_file: Path | None = None
 
 
 class OperatorsSection(Section):
@@ -75,10 +74,10 @@
     """Choose the policy that picks targets and set its limits."""
 
     policy: str = "shared"
-    share_interval_ms: Positive = 10
-    share_bytes_per_s: Positive = 4_096
-    oversubscription: Annotated[int, Field(ge=0)] = 0
-    ejection_share: Share = 0.5
+    share_interval_ms: Positive = 5
+    share_bytes_per_s: Positive = 20_000
+    oversubscription: Positive = 1.0
+    ejection_share: Annotated[float, Field(ge=0, lt=1)] = 0.5
 
 
 class AdmissionSection(Section):
