Answer a finished call before its claim is recorded, refuse at once without targets

Cause of the first failed bring-up: header names of the HTTP client are of a string class that the record codec does not know, so recording a result raised and the caller was never answered. Names are plain strings now, and the answer goes out before the claim is recorded.

--- a/packages/baobabring/baobabring/balancing/_balancer.py
+++ b/packages/baobabring/baobabring/balancing/_balancer.py
@@ -113,6 +113,13 @@
         """Tell whether any target could take one more attempt."""
         return bool(self._room(service_id, now_s, NO_TARGETS))
 
+    def has_targets(self, service_id: str) -> bool:
+        """Tell whether a service has targets that operators let take new work."""
+        service = self._services.get(service_id)
+        return service is not None and any(
+            entry.in_use for entry in service.entries.values()
+        )
+
     def usable_capacity(self, service_id: str, now_s: float) -> float:
         """Return how many calls at once the service's usable targets bear."""
         service = self._service(service_id, now_s)
--- a/packages/baobabring/baobabring/calls/_engine.py
+++ b/packages/baobabring/baobabring/calls/_engine.py
@@ -142,7 +142,7 @@
         for service_id in service_ids:
             capacity = self.balancer.usable_capacity(service_id, now_s)
             share = max(1, round(capacity / live_instances))
-            self.queue.set_capacity(service_id, share if capacity > 0 else 0)
+            self.queue.set_capacity(service_id, share)
 
     def arrive(self, call: Call, now_s: float) -> None:
         """Take in a new call."""
@@ -291,6 +291,9 @@
     def _wait_for_room(self, state: _CallState, now_s: float) -> None:
         state.phase = Phase.ROOM
         state.excluded = frozenset()
+        if not self.balancer.has_targets(state.call.service_id):
+            self._refuse(state, Reason.NO_TARGET, now_s)
+            return
         outcome = self.queue.offer(self._waiting(state), now_s)
         if isinstance(outcome, Refused):
             not_run = NotRun(Reason.OVERLOAD, outcome.retry_at_s)
@@ -435,9 +438,9 @@
         for attempt, running in state.running.items():
             self.balancer.attempt_ended(running.target_id, None, now_s)
             self._commands.append(CancelAttempt(call.call_id, attempt))
+        self._commands.append(AnswerCall(call, outcome, tuple(state.tries)))
         if call.key is not None and not call.rule.idempotent:
             self._finish_claim(state, outcome, now_s)
-        self._commands.append(AnswerCall(call, outcome, tuple(state.tries)))
         if state.running:
             self.drain(call.service_id, now_s)
 
--- a/packages/baobabring/baobabring/targets/_client.py
+++ b/packages/baobabring/baobabring/targets/_client.py
@@ -188,8 +188,9 @@
             if len(body) > self.answer_limit_bytes:
                 response.close()
                 return Lost(Reason.ANSWER_TOO_LARGE)
+        # The library's names are of a class of its own, which no codec knows.
         headers = tuple(
-            (name, value)
+            (str(name), value)
             for name, value in response.headers.items()
             if name.lower() not in NOT_FORWARDED
         )
--- a/packages/baobabring/baobabring/targets/tests/test_client.py
+++ b/packages/baobabring/baobabring/targets/tests/test_client.py
@@ -65,6 +65,7 @@
     assert isinstance(outcome, Answered)
     assert outcome.answer.body == b"ok"
     assert outcome.answer.headers == (("X-Kind", "a"),)
+    assert type(outcome.answer.headers[0][0]) is str
     assert outcome.report == LoadReport(1, 2, cold=False, draining=False)
     assert heard[0].startswith(b"GET /a%20b?x=1 HTTP/1.1\r\n")
 
