Add the claims kernel: keys, records, fold, batches and coordinator

A call with an idempotency key may run once. The first claim of a key in the order of its partition's stream wins, and nothing is dispatched before the claim was read back as the winner, so no lease has to hold while a process is paused.

Every record carries an id of its own. The fold remembers the ids of claims that lost or were released, so that a batch which lands twice, or late, changes nothing. A settlement 'not run' frees a key only after the holder's deadline and a margin by the log's own time. Keys older than what the stream still shows are unknown.

--- a/packages/baobabring/baobabring/claims/__init__.py
+++ b/packages/baobabring/baobabring/claims/__init__.py
@@ -1,1 +1,58 @@
 """At-most-once claims on idempotency keys."""
+
+from baobabring.claims._answers import KeptAnswer
+from baobabring.claims._batcher import AppendRequest
+from baobabring.claims._coordinator import ClaimCoordinator, create_claim_coordinator
+from baobabring.claims._events import (
+    ClaimEvent,
+    ClaimLost,
+    ClaimPending,
+    ClaimRefused,
+    ClaimReplayed,
+    ClaimUnknown,
+    ClaimWon,
+    NotSettleable,
+    NotSettleableReason,
+    RequestReply,
+    SettlementState,
+    SettleRequested,
+    UnknownOutcome,
+)
+from baobabring.claims._keys import (
+    IdempotencyKey,
+    InvalidKey,
+    KeyProblem,
+    parse_key,
+    partition_of,
+    stream_of,
+)
+from baobabring.claims._records import Settlement
+from baobabring.claims._settings import ClaimSettings
+
+__all__ = [
+    "AppendRequest",
+    "ClaimCoordinator",
+    "ClaimEvent",
+    "ClaimLost",
+    "ClaimPending",
+    "ClaimRefused",
+    "ClaimReplayed",
+    "ClaimSettings",
+    "ClaimUnknown",
+    "ClaimWon",
+    "IdempotencyKey",
+    "InvalidKey",
+    "KeptAnswer",
+    "KeyProblem",
+    "NotSettleable",
+    "NotSettleableReason",
+    "RequestReply",
+    "Settlement",
+    "SettlementState",
+    "SettleRequested",
+    "UnknownOutcome",
+    "create_claim_coordinator",
+    "parse_key",
+    "partition_of",
+    "stream_of",
+]
--- /dev/null
+++ b/packages/baobabring/baobabring/claims/_settings.py
@@ -0,0 +1,54 @@
+"""Settings of the claims."""
+
+from dataclasses import dataclass, fields
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimSettings:
+    """Bound the claims in time, bytes and appends.
+
+    `window_s` is the age up to which a key can be shown to be new, and
+    `unresolved_window_s` the age up to which unknown outcomes stay listed. Both must
+    be shorter than the log's retention. `clock_skew_s` bounds how far the clocks of
+    instances and of the log differ, `future_limit_s` how far those of callers run
+    ahead. `budget_appends_per_s` holds for the whole fleet.
+    """
+
+    window_s: float = 3600.0
+    unresolved_window_s: float = 43200.0
+    future_limit_s: float = 5.0
+    clock_skew_s: float = 1.0
+    settlement_margin_s: float = 5.0
+    result_grace_s: float = 2.0
+    log_failing_limit_s: float = 2.0
+    log_retry_delay_s: float = 1.0
+    budget_appends_per_s: float = 200.0
+    burst_appends: float = 2.0
+    batch_limit_bytes: int = 65536
+    body_limit_bytes: int = 4096
+
+    def check(self) -> None:
+        """Raise ValueError on a value out of range."""
+        for field in fields(self):
+            value = getattr(self, field.name)
+            if value <= 0:
+                raise ValueError(f"{field.name} must be positive, got {value!r}")
+        if self.unresolved_window_s < self.window_s:
+            raise ValueError(
+                f"unresolved_window_s must be at least window_s={self.window_s!r}, "
+                f"got {self.unresolved_window_s!r}"
+            )
+        if self.burst_appends < 1:
+            raise ValueError(
+                f"burst_appends must be at least 1, got {self.burst_appends!r}"
+            )
+        if self.body_limit_bytes > self.batch_limit_bytes:
+            raise ValueError(
+                f"body_limit_bytes must be at most batch_limit_bytes="
+                f"{self.batch_limit_bytes!r}, got {self.body_limit_bytes!r}"
+            )
+        if self.settlement_margin_s < self.clock_skew_s:
+            raise ValueError(
+                f"settlement_margin_s must be at least clock_skew_s="
+                f"{self.clock_skew_s!r}, got {self.settlement_margin_s!r}"
+            )
--- /dev/null
+++ b/packages/baobabring/baobabring/claims/tests/_support.py
@@ -0,0 +1,79 @@
+"""Keys, records and pages for the tests of claims."""
+
+import random
+
+from baobabring.claims import ClaimSettings
+from baobabring.claims._records import Claim, Record, encode_batch, encode_record
+from baobabring.platform import LogRecord, Page
+
+NOW_S = 1_000_000.0
+SETTINGS = ClaimSettings(
+    window_s=60.0,
+    unresolved_window_s=120.0,
+    future_limit_s=1.0,
+    clock_skew_s=0.5,
+    settlement_margin_s=2.0,
+    result_grace_s=1.0,
+    log_failing_limit_s=2.0,
+    log_retry_delay_s=0.5,
+    budget_appends_per_s=1000.0,
+    burst_appends=100.0,
+)
+
+
+def key_at(created_at_s: float, number: int = 0) -> str:
+    """Return a UUIDv7 with a given time and a number in place of random bits."""
+    milliseconds = f"{round(created_at_s * 1000):012x}"
+    return f"{milliseconds[:8]}-{milliseconds[8:]}-7000-8000-{number:012x}"
+
+
+def claim_of(
+    key: str,
+    claim_id: bytes,
+    deadline_s: float = NOW_S + 10,
+    fingerprint: bytes = b"f",
+    tenant: str = "default",
+) -> Claim:
+    """Return a claim with what a test cares about."""
+    return Claim(
+        claim_id=claim_id,
+        service_id="pay",
+        key=key,
+        fingerprint=fingerprint,
+        instance_id="i1",
+        tenant=tenant,
+        method="POST",
+        path="/payments",
+        claimed_at_s=NOW_S,
+        dispatch_deadline_s=deadline_s,
+    )
+
+
+def payload_of(*records: Record, batch_id: bytes = b"batch") -> bytes:
+    """Return the payload of a batch."""
+    return encode_batch(batch_id, [encode_record(record) for record in records])
+
+
+class StreamModel:
+    """Keep one stream in memory, with a first retained offset."""
+
+    def __init__(self) -> None:
+        self.records: list[LogRecord] = []
+        self.earliest_offset = 0
+
+    def append(self, payload: bytes, now_s: float) -> int:
+        """Append a record and return its offset."""
+        offset = len(self.records)
+        self.records.append(LogRecord(offset, now_s, payload))
+        return offset
+
+    def page(self, from_offset: int, limit: int = 1000) -> Page:
+        """Return the records from an offset on."""
+        first = max(from_offset, self.earliest_offset)
+        records = tuple(self.records[first : first + limit])
+        return Page(self.earliest_offset, len(self.records), records)
+
+
+def seeded(seed: int = 1) -> random.Random:
+    """Return a source of randomness with a fixed seed."""
+    return random.Random(seed)
