--- a/packages/baobabring/baobabring/configuration/_fold.py
+++ b/packages/baobabring/baobabring/configuration/_fold.py
@@ -100,9 +100,13 @@
 
     def apply_page(self, page: Page) -> tuple[ApplyOutcome, ...]:
         """Apply the records of a page and note what expired before it."""
+        self.open_page(page)
+        return tuple(self.apply(record) for record in page.records)
+
+    def open_page(self, page: Page) -> None:
+        """Note what expired before a page whose records are applied one by one."""
         if page.earliest_offset > self.read_offset:
             self._open_gap(page.earliest_offset)
-        return tuple(self.apply(record) for record in page.records)
 
     def load(self, payload: bytes) -> bool:
         """Take the state of a peer if it is newer; return whether it was."""
--- a/packages/baobabring/baobabring/operators/__init__.py
+++ b/packages/baobabring/baobabring/operators/__init__.py
@@ -1,1 +1,35 @@
 """Operators' remote calls."""
+
+from baobabring.operators._control_plane import (
+    ControlPlane,
+    InstanceStatus,
+    NotSettleable,
+    ReportedState,
+    Settled,
+    Settlement,
+    SettlementOutcome,
+    UnknownOutcome,
+)
+from baobabring.operators._server import (
+    BoundServer,
+    Certificates,
+    bind_operators_server,
+    create_operators_server,
+    read_certificates,
+)
+
+__all__ = [
+    "BoundServer",
+    "Certificates",
+    "ControlPlane",
+    "InstanceStatus",
+    "NotSettleable",
+    "ReportedState",
+    "Settled",
+    "Settlement",
+    "SettlementOutcome",
+    "UnknownOutcome",
+    "bind_operators_server",
+    "create_operators_server",
+    "read_certificates",
+]
--- /dev/null
+++ b/packages/baobabring/baobabring/publication/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the publication of configuration."""
--- /dev/null
+++ b/packages/baobabring/baobabring/publication/tests/test_publisher.py
@@ -0,0 +1,162 @@
+"""Tests of the publisher of changes."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from random import Random
+
+from baobabring.configuration import (
+    Accepted,
+    Conflict,
+    DeleteService,
+    PutService,
+    Rejected,
+)
+from baobabring.model import Service
+from baobabring.publication import (
+    ConfigurationPublisher,
+    ConfigurationReader,
+    Unconfirmed,
+)
+from baobabring.publication.tests.fake_log import FakeEventLog, Fault
+from baobabring.utils import Clock
+
+RETENTION_S = 3_600.0
+LONG_S = 60.0
+SHORT_S = 0.1
+
+CLOCK = Clock()
+CHANGE = PutService(Service("menu", "/menu", (), ()))
+OTHER_CHANGE = PutService(Service("fees", "/fees", (), ()))
+
+
+@asynccontextmanager
+async def publishing(log: FakeEventLog):
+    """Run an instance's reader and give its publisher."""
+    reader = ConfigurationReader(log, CLOCK, RETENTION_S, Random(1))
+    task = asyncio.create_task(reader.run())
+    try:
+        yield ConfigurationPublisher(log, reader, CLOCK)
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def deadline_s(timeout_s: float = LONG_S) -> float:
+    return CLOCK.now_s() + timeout_s
+
+
+async def test_a_change_is_accepted_after_it_was_read_back():
+    log = FakeEventLog(CLOCK)
+    async with publishing(log) as publisher:
+        outcome = await publisher.propose(0, CHANGE, deadline_s())
+        assert outcome == Accepted(revision=1)
+        assert publisher.reader.configuration.revision == 1
+
+
+async def test_a_change_is_not_accepted_before_it_was_read_back():
+    log = FakeEventLog(CLOCK)
+    log.readable = False
+    async with publishing(log) as publisher:
+        outcome = await publisher.propose(0, CHANGE, deadline_s(SHORT_S), "c1")
+        assert isinstance(outcome, Unconfirmed)
+        assert outcome.change_id == "c1"
+        log.readable = True
+        again = await publisher.propose(0, CHANGE, deadline_s(), "c1")
+        assert again == Accepted(revision=1)
+
+
+async def test_an_invalid_change_is_rejected_without_an_append():
+    log = FakeEventLog(CLOCK)
+    async with publishing(log) as publisher:
+        outcome = await publisher.propose(0, DeleteService("menu"), deadline_s())
+        assert isinstance(outcome, Rejected)
+        assert log.append_count == 0
+
+
+async def test_a_change_on_an_old_revision_conflicts_without_an_append():
+    log = FakeEventLog(CLOCK)
+    async with publishing(log) as publisher:
+        await publisher.propose(0, CHANGE, deadline_s())
+        outcome = await publisher.propose(0, OTHER_CHANGE, deadline_s())
+        assert outcome == Conflict(current_revision=1)
+        assert log.append_count == 1
+
+
+async def test_of_racing_operators_at_two_instances_one_wins():
+    log = FakeEventLog(CLOCK)
+    async with publishing(log) as first, publishing(log) as second:
+        outcomes = await asyncio.gather(
+            first.propose(0, CHANGE, deadline_s()),
+            second.propose(0, OTHER_CHANGE, deadline_s()),
+            first.propose(0, OTHER_CHANGE, deadline_s()),
+            second.propose(0, CHANGE, deadline_s()),
+        )
+    winners = [outcome for outcome in outcomes if isinstance(outcome, Accepted)]
+    losers = [outcome for outcome in outcomes if isinstance(outcome, Conflict)]
+    assert len(winners) == 1
+    assert len(losers) == 3
+
+
+async def test_a_lost_answer_is_resolved_by_reading_back():
+    log = FakeEventLog(CLOCK)
+    log.faults.append(Fault.LOST_AFTER)
+    async with publishing(log) as publisher:
+        outcome = await publisher.propose(0, CHANGE, deadline_s())
+    assert outcome == Accepted(revision=1)
+    assert log.append_count == 1
+
+
+async def test_a_lost_append_is_made_again():
+    log = FakeEventLog(CLOCK)
+    log.faults.append(Fault.LOST_BEFORE)
+    async with publishing(log) as publisher:
+        outcome = await publisher.propose(0, CHANGE, deadline_s())
+    assert outcome == Accepted(revision=1)
+    assert log.append_count == 2
+
+
+async def test_an_append_that_takes_effect_late_is_applied_once():
+    log = FakeEventLog(CLOCK)
+    log.faults.append(Fault.LOST_THEN_LATE)
+    async with publishing(log) as publisher:
+        assert await publisher.propose(0, CHANGE, deadline_s(), "c1") == Accepted(1)
+        log.deliver_late()
+        change = DeleteService("menu")
+        assert await publisher.propose(1, change, deadline_s()) == Accepted(3)
+        assert publisher.reader.fold.verdict("c1") == Accepted(1)
+
+
+async def test_a_refused_append_is_made_again():
+    log = FakeEventLog(CLOCK)
+    log.faults.extend([Fault.REFUSED, Fault.REFUSED])
+    async with publishing(log) as publisher:
+        assert await publisher.propose(0, CHANGE, deadline_s()) == Accepted(1)
+
+
+async def test_a_silent_log_leaves_the_change_unconfirmed():
+    log = FakeEventLog(CLOCK)
+    log.faults.append(Fault.SILENT)
+    async with publishing(log) as publisher:
+        outcome = await publisher.propose(0, CHANGE, deadline_s(SHORT_S))
+    assert isinstance(outcome, Unconfirmed)
+    assert "may yet take effect" in outcome.reason
+
+
+async def test_a_change_sent_again_through_another_instance_is_applied_once():
+    log = FakeEventLog(CLOCK)
+    async with publishing(log) as first, publishing(log) as second:
+        assert await first.propose(0, CHANGE, deadline_s(), "c1") == Accepted(1)
+        assert await second.propose(0, CHANGE, deadline_s(), "c1") == Accepted(1)
+
+
+async def test_a_change_on_a_revision_not_yet_read_here_is_left_to_the_log():
+    log = FakeEventLog(CLOCK)
+    async with publishing(log) as first:
+        await first.propose(0, CHANGE, deadline_s())
+        reader = ConfigurationReader(log, CLOCK, RETENTION_S, Random(2))
+        behind = ConfigurationPublisher(log, reader, CLOCK)
+        proposal = asyncio.create_task(behind.propose(1, OTHER_CHANGE, deadline_s()))
+        while log.append_count < 2:
+            await asyncio.sleep(0)
+        await reader.read_once()
+        assert await proposal == Accepted(2)
