--- a/packages/baobabctl/baobabctl/_commands.py
+++ b/packages/baobabctl/baobabctl/_commands.py
@@ -8,7 +8,7 @@
 
 from baobabctl._exit_codes import ExitCode
 from baobabctl._flags import UsageError
-from baobabctl._json_messages import read_message
+from baobabctl._json_messages import is_unicode, read_message
 from baobabctl._session import Session
 from baobabctl._tables import instances_table, outcomes_table, services_table
 
@@ -54,6 +54,9 @@
     values = words[WORDS_PER_NAME:]
     if len(values) != len(command.arguments):
         raise UsageError(f"usage: baobabctl {command.usage}; got {len(values)} values")
+    for argument, value in zip(command.arguments, values, strict=True):
+        if not is_unicode(value):
+            raise UsageError(f"{argument} must be Unicode text, got {value!r}")
     return Invocation(command, values)
 
 
--- a/packages/baobabctl/baobabctl/_json_messages.py
+++ b/packages/baobabctl/baobabctl/_json_messages.py
@@ -57,6 +57,11 @@
     return str(number) if value is None else _short_names(enum)[value.name]
 
 
+def is_unicode(text: str) -> bool:
+    """Tell whether a text has no lone surrogates, which no message can hold."""
+    return not any("\ud800" <= character <= "\udfff" for character in text)
+
+
 def _to_json_field(message: Message, field: FieldDescriptor) -> Any:
     value = getattr(message, field.name)
     if field.message_type is not None:
@@ -131,7 +136,9 @@
         if type(value) is not int or not 0 <= value < limit:
             return f"must be a whole number below {limit}, got {value!r}"
         return None
-    return None if isinstance(value, str) else f"must be a string, got {value!r}"
+    if not isinstance(value, str):
+        return f"must be a string, got {value!r}"
+    return None if is_unicode(value) else f"must be Unicode text, got {value!r}"
 
 
 def _enum_numbers(enum: EnumDescriptor) -> dict[str, int]:
--- /dev/null
+++ b/packages/baobabring/baobabring/operators/tests/fakes.py
@@ -0,0 +1,63 @@
+"""Control plane in memory."""
+
+from dataclasses import dataclass, field
+
+from baobabring.configuration import Accepted, Change
+from baobabring.model import Configuration
+from baobabring.operators import (
+    ControlPlane,
+    InstanceStatus,
+    Settled,
+    Settlement,
+    SettlementOutcome,
+    UnknownOutcome,
+)
+from baobabring.publication import ProposalOutcome
+
+
+@dataclass
+class Proposal:
+    """Hold what a servicer proposed."""
+
+    base_revision: int
+    change: Change
+    deadline_s: float
+    change_id: str | None
+
+
+@dataclass
+class FakeControlPlane(ControlPlane):
+    """Answer as a test says and keep what was asked."""
+
+    outcome: ProposalOutcome = field(default_factory=lambda: Accepted(1))
+    settlement_outcome: SettlementOutcome = field(default_factory=Settled)
+    current: Configuration = field(default_factory=Configuration)
+    statuses: tuple[InstanceStatus, ...] = ()
+    unknown: tuple[UnknownOutcome, ...] = ()
+    proposals: list[Proposal] = field(default_factory=list)
+    settlements: list[Settlement] = field(default_factory=list)
+
+    async def propose(
+        self,
+        base_revision: int,
+        change: Change,
+        deadline_s: float,
+        change_id: str | None = None,
+    ) -> ProposalOutcome:
+        self.proposals.append(Proposal(base_revision, change, deadline_s, change_id))
+        return self.outcome
+
+    def configuration(self) -> Configuration:
+        return self.current
+
+    def instances(self) -> tuple[InstanceStatus, ...]:
+        return self.statuses
+
+    def unknown_outcomes(self) -> tuple[UnknownOutcome, ...]:
+        return self.unknown
+
+    async def settle(
+        self, service_id: str, key: str, settlement: Settlement, deadline_s: float
+    ) -> SettlementOutcome:
+        self.settlements.append(settlement)
+        return self.settlement_outcome
