--- a/packages/baobabring/baobabring/balancing/_cold_fold.py
+++ b/packages/baobabring/baobabring/balancing/_cold_fold.py
@@ -64,7 +64,7 @@
     warm_at_s: float = 0.0
     revision: int = 0
     holder: str = ""
-    expires_at_s: float = 0.0
+    expires_at_s: float = float("-inf")
 
 
 class ColdFold:
--- a/packages/baobabring/baobabring/balancing/_cold_start.py
+++ b/packages/baobabring/baobabring/balancing/_cold_start.py
@@ -159,8 +159,7 @@
             return
         if report is not None and report.cold:
             target.answers = 0
-            if self.is_warm(target_id):
-                self.turned_cold(target_id, now_s)
+            self.turned_cold(target_id, now_s)
             return
         if self.is_warm(target_id):
             return
@@ -178,7 +177,7 @@
         state = self._fold.state(target_id)
         if report.cold:
             fresh = now_s - state.warm_at_s < self._settings.cold_settle_s
-            if self.is_warm(target_id) and not fresh:
+            if not fresh:
                 self.turned_cold(target_id, now_s)
             return
         if state.cold_epoch == NEVER_COLD and not state.warm:
@@ -187,7 +186,7 @@
     def turned_cold(self, target_id: str, now_s: float) -> None:
         """Stop calls to a target that says it is cold, and tell the peers."""
         target = self._targets.get(target_id)
-        if target is None or target.stopped_epoch is not None:
+        if target is None or not self.is_warm(target_id):
             return
         epoch = self._fold.state(target_id).cold_epoch
         self._stop(target, epoch, now_s)
--- a/packages/baobabring/baobabring/balancing/_ejection.py
+++ b/packages/baobabring/baobabring/balancing/_ejection.py
@@ -1,13 +1,13 @@
 """Ejection of targets that behave far worse than the others of their service."""
 
 from dataclasses import dataclass
-from math import floor
 
 from baobabring.balancing._settings import BalancingSettings
 
 LATENCY_RATIO_LIMIT = 5.0
 GOOD_ANSWERS_TO_FORGIVE = 20
 SUSPECT_FAILURES = 3
+OBSERVER_SUSPECT_SHARE = 0.5
 
 
 @dataclass(slots=True)
@@ -24,8 +24,8 @@
 class OutlierEjection:
     """Eject the worst targets of one service for a while.
 
-    Never more than a share of the targets are out. When more than that look bad
-    the fault is likely the observer's, and all targets are used again.
+    Never more than a share of the targets are out. When most of them look bad the
+    fault is likely the observer's, and all targets are used again.
     """
 
     def __init__(self, settings: BalancingSettings) -> None:
@@ -85,8 +85,11 @@
             return False
         if record.failures < self._settings.ejection_failures:
             return False
-        if self._suspects(now_s) > self._most_ejected():
+        count = len(self._records)
+        if self._suspects(now_s) > OBSERVER_SUSPECT_SHARE * count:
             return self._take_all_back()
+        if self._ejected(now_s) + 1 > self._settings.ejection_share * count:
+            return False
         self._eject(record, now_s)
         return True
 
@@ -104,8 +107,8 @@
             for record in self._records.values()
         )
 
-    def _most_ejected(self) -> int:
-        return floor(self._settings.ejection_share * len(self._records))
+    def _ejected(self, now_s: float) -> int:
+        return sum(r.ejected_until_s > now_s for r in self._records.values())
 
     def _take_all_back(self) -> bool:
         changed = False
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/tests/test_cold_start.py
@@ -0,0 +1,274 @@
+"""Tests of the limit on calls to targets in cold start."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from baobabring.balancing._cold_fold import ColdFold, Lease, encode_records
+from baobabring.balancing.tests.fakes import (
+    FakeLog,
+    answered,
+    make_balancer,
+    make_configuration,
+    make_target,
+    make_warm_balancer,
+    warm_up,
+)
+from baobabring.model import LoadReport, TargetState
+from baobabring.platform import LogRecord
+
+CONFIGURATION = make_configuration([make_target(0, slots=4)])
+
+
+def exchange(balancer, log: FakeLog, now_s: float) -> None:
+    log.append(balancer.cold_start.due_proposal(now_s), now_s)
+    balancer.cold_start.apply_page(log.page(), now_s)
+
+
+def make_cold(log: FakeLog, name: str = "i0", seed: int = 1):
+    balancer = make_balancer(name, log, seed)
+    balancer.configure(CONFIGURATION, 0.0)
+    return balancer
+
+
+def turn_cold(balancer, log: FakeLog, now_s: float) -> None:
+    balancer.attempt_started("t0", now_s)
+    balancer.attempt_ended("t0", answered(cold=True), now_s)
+    exchange(balancer, log, now_s + 0.3)
+
+
+def test_probe_that_says_warm_ends_the_first_cold_start():
+    log = FakeLog()
+    balancer = make_cold(log)
+    assert balancer.choose("menu", 0.0) is None
+    balancer.report("t0", LoadReport(0, 4, False, False), 0.1)
+    exchange(balancer, log, 0.1)
+    assert balancer.choose("menu", 0.1) == "t0"
+
+
+def test_first_answer_ends_the_first_cold_start():
+    log = FakeLog()
+    balancer = make_cold(log)
+    balancer.choose("menu", 0.0)
+    exchange(balancer, log, 0.1)
+    assert balancer.choose("menu", 0.2) == "t0"
+    balancer.attempt_started("t0", 0.2)
+    assert balancer.choose("menu", 0.2) is None
+    balancer.attempt_ended("t0", answered(), 0.25)
+    exchange(balancer, log, 0.3)
+    for _ in range(4):
+        balancer.attempt_started(balancer.choose("menu", 0.3), 0.3)
+
+
+def test_attempt_on_a_cold_target_ends_with_the_lease():
+    log = FakeLog()
+    balancer = make_cold(log)
+    balancer.choose("menu", 0.0)
+    exchange(balancer, log, 0.1)
+    assert balancer.attempt_started("t0", 0.2, 60.0) == 10.1
+
+
+def test_nothing_starts_without_the_log():
+    balancer = make_cold(FakeLog())
+    for step in range(100):
+        assert balancer.choose("menu", 0.1 * step) is None
+
+
+def test_second_instance_waits_for_the_lease_to_expire():
+    log = FakeLog()
+    first, second = make_cold(log, "i0"), make_cold(log, "i1", seed=2)
+    first.choose("menu", 0.0)
+    exchange(first, log, 0.1)
+    exchange(second, log, 0.1)
+    granted_s = None
+    for step in range(130):
+        now_s = 0.2 + 0.1 * step
+        if second.choose("menu", now_s) is not None:
+            granted_s = now_s
+            break
+        exchange(second, log, now_s)
+    assert 11.1 < granted_s < 11.6
+
+
+def test_cold_report_stops_calls_at_once_and_at_peers_by_notice():
+    log = FakeLog()
+    first, second = make_cold(log, "i0"), make_cold(log, "i1", seed=2)
+    warm_up(first, log, 0.5)
+    second.cold_start.apply_page(log.page(), 1.0)
+    assert second.choose("menu", 2.0) == "t0"
+    first.attempt_started("t0", 2.0)
+    first.attempt_ended("t0", answered(cold=True), 2.0)
+    assert first.choose("menu", 2.0) is None
+    second.sharing.apply(first.sharing.outgoing(2.0), 2.0)
+    assert second.choose("menu", 2.0) is None
+
+
+def test_old_notice_doesnt_stop_a_target_that_warmed_up_again():
+    log = FakeLog()
+    balancer = make_cold(log)
+    warm_up(balancer, log, 0.5)
+    turn_cold(balancer, log, 2.0)
+    warm_under_lease(balancer, log, 3.0)
+    balancer.cold_start.notice("t0", -1, 9.0)
+    assert balancer.choose("menu", 9.0) == "t0"
+
+
+def warm_under_lease(balancer, log: FakeLog, now_s: float) -> None:
+    balancer.choose("menu", now_s)
+    exchange(balancer, log, now_s)
+    for step in range(1, 6):
+        at_s = now_s + 0.1 * step
+        assert balancer.choose("menu", at_s) == "t0"
+        balancer.attempt_started("t0", at_s)
+        balancer.attempt_ended("t0", answered(), at_s)
+    exchange(balancer, log, now_s + 1.0)
+
+
+def test_target_that_turned_cold_needs_several_answers():
+    log = FakeLog()
+    balancer = make_cold(log)
+    warm_up(balancer, log, 0.5)
+    turn_cold(balancer, log, 2.0)
+    balancer.report("t0", LoadReport(0, 4, False, False), 2.5)
+    exchange(balancer, log, 2.6)
+    assert not balancer.cold_start.is_warm("t0")
+    warm_under_lease(balancer, log, 3.0)
+    assert balancer.cold_start.is_warm("t0")
+
+
+def test_target_back_from_draining_is_cold():
+    balancer = make_warm_balancer(count=2)
+    draining = [make_target(0, state=TargetState.DRAINING), make_target(1)]
+    balancer.configure(make_configuration(draining, 2), 2.0)
+    active = [make_target(0), make_target(1)]
+    balancer.configure(make_configuration(active, 3), 3.0)
+    assert balancer.choose("menu", 3.0, frozenset({"t1"})) is None
+
+
+def test_lost_call_keeps_its_place_until_its_deadline():
+    log = FakeLog()
+    balancer = make_cold(log)
+    balancer.choose("menu", 0.0)
+    exchange(balancer, log, 0.1)
+    balancer.attempt_started("t0", 0.2, 3.0)
+    balancer.attempt_ended("t0", None, 0.3)
+    assert balancer.choose("menu", 2.9) is None
+    assert balancer.choose("menu", 3.1) == "t0"
+
+
+def test_holder_with_a_slow_clock_starts_nothing():
+    log = FakeLog()
+    balancer = make_cold(log)
+    balancer.choose("menu", 0.0)
+    log.append(balancer.cold_start.due_proposal(0.1), 5.0)
+    balancer.cold_start.apply_page(log.page(), 0.2)
+    assert balancer.choose("menu", 0.3) is None
+
+
+def test_log_gives_a_lease_to_another_only_after_expiry_and_skew():
+    fold = ColdFold(lease_limit_s=10.0, clock_skew_s=1.0)
+    first = encode_records((Lease("t0", "i0/1", 10.0),))
+    second = encode_records((Lease("t0", "i1/1", 15.0),))
+    fold.apply(LogRecord(0, 5.0, first))
+    fold.apply(LogRecord(1, 11.0, second))
+    assert fold.state("t0").holder == "i0/1"
+    fold.apply(LogRecord(2, 11.1, second))
+    assert fold.state("t0").holder == "i1/1"
+
+
+CLOCK_OFFSETS_S = (0.0, 0.4, -0.4, 0.9)
+INSTANCES = len(CLOCK_OFFSETS_S)
+ACTIONS = ["call", "propose", "append", "read", "end", "restart", "view"]
+ACTION_WEIGHTS = [8, 8, 8, 8, 8, 1, 1]
+PAUSES_S = [0.0, 0.02, 0.1, 0.5, 9.0, 12.0]
+PAUSE_WEIGHTS = [30, 30, 20, 5, 0.3, 0.3]
+STEPS = 600
+
+
+class Fleet:
+    """Run instances whose clocks differ over one log, and watch a target's calls.
+
+    A call ends at its deadline, by the clock of its instance, at the latest.
+    """
+
+    def __init__(self) -> None:
+        self.log = FakeLog()
+        self.now_s = 1.0
+        self.seed = 0
+        self.calls = 0
+        self.holders: set[object] = set()
+        self.running: list[tuple[object, float]] = []
+        self.proposals: list[bytes] = []
+        self.balancers = [self.start_instance(i) for i in range(INSTANCES)]
+
+    def start_instance(self, index: int):
+        self.seed += 1
+        balancer = make_cold(self.log, f"i{index}", self.seed)
+        balancer.choose("menu", self.now_s + CLOCK_OFFSETS_S[index])
+        return balancer
+
+    def advance(self, elapsed_s: float) -> None:
+        self.now_s += elapsed_s
+        ended = [call for call in self.running if call[1] <= self.now_s]
+        self.running = [call for call in self.running if call[1] > self.now_s]
+        for balancer, _ in ended:
+            if balancer in self.balancers:
+                balancer.attempt_ended("t0", None, self.now_s)
+
+    def act(self, action: str, index: int, rng: Random) -> None:
+        balancer = self.balancers[index]
+        now_s = self.now_s + CLOCK_OFFSETS_S[index]
+        match action:
+            case "call":
+                if balancer.choose("menu", now_s) is not None:
+                    deadline_s = balancer.attempt_started("t0", now_s)
+                    end_s = deadline_s - CLOCK_OFFSETS_S[index]
+                    self.running.append((balancer, end_s))
+                    self.calls += 1
+                    self.holders.add(balancer)
+            case "propose":
+                payload = balancer.cold_start.due_proposal(now_s)
+                self.proposals += [payload] if payload else []
+            case "append":
+                if self.proposals:
+                    index = rng.randrange(len(self.proposals))
+                    self.log.append(self.proposals.pop(index), self.now_s)
+            case "read":
+                balancer.cold_start.apply_page(self.log.page(), now_s)
+            case "end":
+                self.end_one(balancer, now_s)
+            case "restart":
+                self.balancers[index] = self.start_instance(index)
+            case "view":
+                view = {f"i{i}" for i in range(INSTANCES) if rng.random() < 0.5}
+                balancer.cold_start.set_live(frozenset(view))
+
+    def end_one(self, balancer, now_s: float) -> None:
+        own = [call for call in self.running if call[0] is balancer]
+        if own:
+            self.running.remove(own[0])
+            balancer.attempt_ended("t0", answered(cold=True), now_s)
+
+
+def run_fleet(seed: int) -> Fleet:
+    rng = Random(seed)
+    fleet = Fleet()
+    for _ in range(STEPS):
+        fleet.advance(rng.choices(PAUSES_S, PAUSE_WEIGHTS)[0])
+        action = rng.choices(ACTIONS, ACTION_WEIGHTS)[0]
+        fleet.act(action, rng.randrange(INSTANCES), rng)
+        assert len(fleet.running) <= 1
+    return fleet
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(seed=st.integers(0, 2**32))
+def test_sum_over_instances_stays_within_the_cold_limit(seed):
+    run_fleet(seed)
+
+
+def test_fleet_under_test_makes_calls_and_moves_leases():
+    fleets = [run_fleet(seed) for seed in range(20)]
+    assert sum(fleet.calls for fleet in fleets) > 100
+    assert sum(len(fleet.holders) > 1 for fleet in fleets) > 5
--- /dev/null
+++ b/packages/baobabring/baobabring/balancing/tests/test_sharing.py
@@ -0,0 +1,160 @@
+"""Tests of sharing calls in flight."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from baobabring.balancing import (
+    Candidate,
+    InFlightUpdate,
+    TargetCount,
+    decode_update,
+    encode_update,
+)
+from baobabring.balancing._peers import AgeScale, PeerLoad
+from baobabring.balancing._updates import target_key
+from baobabring.balancing.tests.fakes import make_warm_balancer
+
+DECAY_S = 0.1
+
+
+def make_update(
+    sequence: int, sent_at_s: float, in_flight: int, full: bool = False
+) -> InFlightUpdate:
+    counts = (TargetCount(target_key("t0"), in_flight),)
+    return InFlightUpdate("peer", sequence, sent_at_s, full, counts)
+
+
+def make_load() -> tuple[PeerLoad, Candidate, AgeScale]:
+    candidate = Candidate("t0", 4)
+    scale = AgeScale(0.0, DECAY_S)
+    load = PeerLoad()
+    load.track([(candidate, scale)])
+    return load, candidate, scale
+
+
+def peers_in_flight(candidate: Candidate, scale: AgeScale, now_s: float) -> float:
+    return candidate.peers_scaled * scale.factor(now_s)
+
+
+def test_update_survives_its_encoding():
+    update = make_update(7, 1.5, 2)
+    assert decode_update(encode_update(update)) == update
+
+
+def test_counts_lose_weight_with_age():
+    load, candidate, scale = make_load()
+    load.apply(make_update(1, 1.0, 2), 1.0)
+    assert abs(peers_in_flight(candidate, scale, 1.0) - 2.0) < 1e-6
+    assert peers_in_flight(candidate, scale, 1.0 + 5 * DECAY_S) < 0.02
+
+
+def test_clocks_of_peers_need_not_agree():
+    load, candidate, scale = make_load()
+    load.apply(make_update(1, 500.0, 2), 1.0)
+    assert abs(peers_in_flight(candidate, scale, 1.0) - 2.0) < 1e-6
+
+
+def test_delayed_update_weighs_less():
+    load, candidate, scale = make_load()
+    load.apply(make_update(1, 1.0, 2), 1.0)
+    load.apply(make_update(2, 1.1, 2), 1.1 + 5 * DECAY_S)
+    assert peers_in_flight(candidate, scale, 1.1 + 5 * DECAY_S) < 0.02
+
+
+def test_forgotten_peer_counts_nothing():
+    load, candidate, scale = make_load()
+    load.apply(make_update(1, 1.0, 2), 1.0)
+    load.forget("peer")
+    assert abs(peers_in_flight(candidate, scale, 1.0)) < 1e-9
+
+
+def test_counts_not_named_after_a_lost_update_are_dropped():
+    load, candidate, scale = make_load()
+    load.apply(make_update(1, 1.0, 2), 1.0)
+    load.apply(InFlightUpdate("peer", 3, 1.01, False), 1.01)
+    assert abs(peers_in_flight(candidate, scale, 1.01)) < 1e-9
+
+
+events = st.lists(
+    st.tuples(st.integers(0, 14), st.floats(0.0, 3.0), st.booleans()), max_size=40
+)
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(counts=st.lists(st.integers(0, 4), min_size=15, max_size=15), arrivals=events)
+def test_late_and_repeated_updates_change_nothing(counts, arrivals):
+    load, candidate, scale = make_load()
+    newest = -1
+    now_s = 1.0
+    for index, delay_s, rebase in arrivals:
+        now_s += delay_s
+        update = make_update(index, 1.0 + 0.1 * index, counts[index], full=True)
+        before = peers_in_flight(candidate, scale, now_s)
+        applied = load.apply(update, now_s)
+        assert applied is (index > newest)
+        newest = max(newest, index)
+        after = peers_in_flight(candidate, scale, now_s)
+        if not applied:
+            assert after == before
+        if rebase:
+            load.rebase(now_s)
+            again = peers_in_flight(candidate, scale, now_s)
+            assert abs(again - after) < 1e-6
+        assert -1e-6 < after <= counts[newest] + 1e-6
+
+
+def test_changes_are_coalesced():
+    balancer = make_warm_balancer(share_interval_ms=5.0, share_idle_factor=1.0)
+    balancer.attempt_started("t0", 10.0)
+    assert balancer.sharing.outgoing(10.0) is not None
+    balancer.attempt_started("t1", 10.001)
+    balancer.attempt_started("t1", 10.002)
+    assert balancer.sharing.outgoing(10.002) is None
+    update = balancer.sharing.outgoing(10.006)
+    assert update.counts == (TargetCount(target_key("t1"), 2),)
+
+
+def test_change_that_was_undone_is_not_sent():
+    balancer = make_warm_balancer(share_renew_ms=1_000.0)
+    balancer.attempt_started("t0", 10.0)
+    balancer.sharing.outgoing(10.0)
+    balancer.attempt_started("t1", 10.001)
+    balancer.attempt_ended("t1", None, 10.002)
+    assert balancer.sharing.outgoing(10.1) is None
+
+
+def test_idle_instance_sends_nothing():
+    balancer = make_warm_balancer()
+    assert all(balancer.sharing.outgoing(float(t)) is None for t in range(10, 20))
+
+
+def test_lasting_calls_are_confirmed():
+    balancer = make_warm_balancer(share_renew_ms=50.0)
+    balancer.attempt_started("t0", 10.0)
+    balancer.sharing.outgoing(10.0)
+    assert balancer.sharing.outgoing(10.06).counts == ()
+
+
+def test_updates_stay_within_their_budget():
+    rate = 2_000.0
+    balancer = make_warm_balancer(share_bytes_per_s=rate)
+    sent_bytes = 0
+    for step in range(10_000):
+        now_s = 10.0 + 0.001 * step
+        if step % 2:
+            balancer.attempt_ended("t0", None, now_s)
+        else:
+            balancer.attempt_started("t0", now_s)
+        if step % 5 == 0:
+            update = balancer.sharing.outgoing(now_s)
+            sent_bytes += len(encode_update(update)) if update else 0
+    assert 0.2 * rate * 10 < sent_bytes <= rate * 10.5
+
+
+def test_sequence_grows_over_a_restart():
+    sequences = []
+    for now_s in (10.0, 11.0):
+        balancer = make_warm_balancer()
+        balancer.attempt_started("t0", now_s)
+        sequences.append(balancer.sharing.outgoing(now_s).sequence)
+    assert sequences[0] < sequences[1]
