--- /dev/null
+++ b/benchmarks/balancing_choice.py
@@ -0,0 +1,146 @@
+"""Measure the time of a choice of target and the size of updates.
+
+Run with `python benchmarks/balancing_choice.py`; prints a table.
+"""
+
+import time
+from random import Random
+from statistics import median
+
+from baobabring.balancing import (
+    POLICIES,
+    Balancer,
+    BalancingSettings,
+    InFlightUpdate,
+    TargetCount,
+    create_balancer,
+    encode_update,
+    target_key,
+)
+from baobabring.model import (
+    Answer,
+    Answered,
+    Configuration,
+    LoadReport,
+    Service,
+    Target,
+)
+from baobabring.platform import LogRecord, Page
+from tabulate import tabulate
+
+PEERS = 13
+SLOTS = 2
+ROUNDS = 7
+CHOICES_PER_ROUND = 2_000
+SIZES = ((26, 12), (500, 25), (5_000, 25), (5_000, 5_000))
+ANSWER = Answered(Answer(200, (), b""), LoadReport(1, SLOTS, False, False), 20.0)
+
+
+def make_balancer(target_count: int, service_size: int, policy: str) -> Balancer:
+    """Return a balancer with warm targets, half of whose slots peers use."""
+    balancer = create_balancer(
+        "instance-0", "zone-0", BalancingSettings(policy=policy), Random(1)
+    )
+    services = {}
+    for start in range(0, target_count, service_size):
+        targets = tuple(
+            Target(f"target-{index}", "127.0.0.1:1", f"zone-{index % 3}", SLOTS)
+            for index in range(start, min(start + service_size, target_count))
+        )
+        service_id = f"service-{start // service_size}"
+        services[service_id] = Service(service_id, "/", (), targets)
+    balancer.configure(Configuration(1, services), 0.0)
+    warm_up(balancer, target_count)
+    return balancer
+
+
+def warm_up(balancer: Balancer, target_count: int) -> None:
+    """Let probes end the cold start of all targets."""
+    for index in range(target_count):
+        report = LoadReport(0, SLOTS, False, False)
+        balancer.report(f"target-{index}", report, 0.0)
+    now_s = 1.0
+    offset = 0
+    while payload := balancer.cold_start.due_proposal(now_s):
+        record = LogRecord(offset, now_s, payload)
+        balancer.cold_start.apply_page(Page(0, offset + 1, (record,)), now_s)
+        offset += 1
+        now_s += 1.0
+
+
+def peers_updates(target_count: int, sequence: int, now_s: float) -> list:
+    """Return an update of each peer that names as many targets as it has calls."""
+    rng = Random(sequence)
+    calls = max(1, min(target_count, 26) * SLOTS // 2 // PEERS)
+    keys = [target_key(f"target-{rng.randrange(target_count)}") for _ in range(calls)]
+    return [
+        InFlightUpdate(
+            f"instance-{peer}",
+            sequence,
+            now_s,
+            True,
+            tuple(TargetCount(key, 1) for key in keys),
+        )
+        for peer in range(1, PEERS + 1)
+    ]
+
+
+def time_choices(balancer: Balancer, target_count: int) -> tuple[float, float]:
+    """Return microseconds a choice, and microseconds a choice, start and end."""
+    now_s = 10_000.0
+    service_id = "service-0"
+    choice_us = []
+    attempt_us = []
+    for round_number in range(ROUNDS):
+        for update in peers_updates(target_count, round_number, now_s):
+            balancer.sharing.apply(update, now_s)
+        started = time.perf_counter()
+        for _ in range(CHOICES_PER_ROUND):
+            balancer.choose(service_id, now_s)
+        choice_us.append(_microseconds_each(started))
+        started = time.perf_counter()
+        for _ in range(CHOICES_PER_ROUND):
+            target_id = balancer.choose(service_id, now_s)
+            balancer.attempt_started(target_id, now_s)
+            balancer.attempt_ended(target_id, ANSWER, now_s)
+        attempt_us.append(_microseconds_each(started))
+        now_s += 0.02
+    return median(choice_us), median(attempt_us)
+
+
+def _microseconds_each(started: float) -> float:
+    return 1e6 * (time.perf_counter() - started) / CHOICES_PER_ROUND
+
+
+def update_sizes() -> list[tuple[int, int]]:
+    """Return pairs of counts named and bytes of the encoded update."""
+    rows = []
+    for count in (0, 1, 2, 5, 12, 26):
+        counts = tuple(TargetCount(target_key(f"target-{i}"), 1) for i in range(count))
+        update = InFlightUpdate(
+            "instance-1", 1_764_800_000_000_000, 1.8e9, False, counts
+        )
+        rows.append((count, len(encode_update(update))))
+    return rows
+
+
+def main() -> None:
+    """Print the tables."""
+    rows = []
+    for target_count, service_size in SIZES:
+        balancer = make_balancer(target_count, service_size, "shared")
+        rows.append(
+            ("shared", target_count, service_size)
+            + time_choices(balancer, target_count)
+        )
+    for policy in POLICIES.names():
+        balancer = make_balancer(26, 12, policy)
+        rows.append((policy, 26, 12, *time_choices(balancer, 26)))
+    header = ("policy", "targets", "of the service", "choice us", "with attempt us")
+    print(tabulate(rows, header, floatfmt=".1f"))
+    print()
+    print(tabulate(update_sizes(), ("counts", "bytes of an update")))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/baobabring/baobabring/balancing/__init__.py
+++ b/packages/baobabring/baobabring/balancing/__init__.py
@@ -22,6 +22,7 @@
     TargetCount,
     decode_update,
     encode_update,
+    target_key,
 )
 
 # Importing a module of policies registers them.
@@ -50,4 +51,5 @@
     "create_balancer",
     "decode_update",
     "encode_update",
+    "target_key",
 ]
