Go on after the last record of a page, not at the end of the stream

Cause: the guard of cold starts took a page's next_offset, which is the end of the stream, as its own position, so records beyond the page's limit were never read.

An instance that leaves now waits until its claims are recorded, and log lines of libraries take the same form as ours.

--- a/packages/baobabring/baobabring/balancing/_cold_start.py
+++ b/packages/baobabring/baobabring/balancing/_cold_start.py
@@ -99,7 +99,7 @@
             self.next_offset = record.offset + 1
             ahead_s = record.appended_at_s - now_s
             self._clock_is_behind = ahead_s > self._settings.clock_skew_s
-        self.next_offset = max(self.next_offset, page.next_offset)
+        self.next_offset = max(self.next_offset, page.earliest_offset)
         for target_id, target in self._targets.items():
             self._settle(target, self._fold.state(target_id))
         self.version += 1
--- a/packages/baobabring/baobabring/balancing/tests/test_cold_start.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_cold_start.py
@@ -16,7 +16,7 @@
     warm_up,
 )
 from baobabring.model import LoadReport, TargetState
-from baobabring.platform import LogRecord
+from baobabring.platform import LogRecord, Page
 
 CONFIGURATION = make_configuration([make_target(0, slots=4)])
 
@@ -272,3 +272,12 @@
     fleets = [run_fleet(seed) for seed in range(20)]
     assert sum(fleet.calls for fleet in fleets) > 100
     assert sum(len(fleet.holders) > 1 for fleet in fleets) > 5
+
+
+def test_page_that_ends_before_the_stream_does_leaves_the_rest_to_be_read():
+    log = FakeLog()
+    balancer = make_cold(log)
+    payloads = [encode_records((Lease("t0", "other", 5.0),)) for _ in range(3)]
+    records = tuple(LogRecord(i, 0.1, p) for i, p in enumerate(payloads))
+    balancer.cold_start.apply_page(Page(0, 3, records[:2]), 0.2)
+    assert balancer.cold_start.next_offset == 2
--- a/packages/baobabring/baobabring/claims/_coordinator.py
+++ b/packages/baobabring/baobabring/claims/_coordinator.py
@@ -207,6 +207,11 @@
         """Return when the budget allows the next append."""
         return self.pacer.next_at_s(now_s)
 
+    @property
+    def idle(self) -> bool:
+        """Tell that no record waits to be appended."""
+        return all(part.batcher.idle for part in self._partitions)
+
     @property
     def skipped_records(self) -> int:
         """Return how many records could not be decoded."""
--- a/packages/baobabring/baobabring/program/_logs.py
+++ b/packages/baobabring/baobabring/program/_logs.py
@@ -1,10 +1,12 @@
 """Structured log lines through logbook."""
 
 import json
+import logging
 import sys
 from datetime import UTC, datetime
 
 import logbook
+from logbook.compat import RedirectLoggingHandler
 
 LEVELS = {
     "debug": logbook.DEBUG,
@@ -42,6 +44,8 @@
 
 def create_log_handler(line_format: str, level: str) -> logbook.Handler:
     """Return a handler that writes structured lines to standard error."""
+    # The libraries' own log lines take the same form.
+    logging.getLogger().handlers = [RedirectLoggingHandler()]
     handler = logbook.StreamHandler(sys.stderr, level=LEVELS[level])
     handler.formatter = _format_json if line_format == "json" else _format_keyvalue
     return handler
--- a/packages/baobabring/baobabring/program/_node.py
+++ b/packages/baobabring/baobabring/program/_node.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import signal
+from collections.abc import Coroutine
 
 import logbook
 import uvicorn
@@ -53,7 +54,7 @@
             loop.add_signal_handler(number, self._leaving.set)
         operators = self._create_operators()
         await operators.start()
-        tasks = asyncio.gather(*self._tasks())
+        tasks = asyncio.ensure_future(self._run_tasks())
         serving = asyncio.ensure_future(self._server.serve())
         leaving = asyncio.ensure_future(self._leaving.wait())
         await asyncio.wait(
@@ -95,7 +96,12 @@
             )
         return create_operators_server(control_plane, section.address, certificates)
 
-    def _tasks(self):
+    async def _run_tasks(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            for task in self._tasks():
+                group.create_task(task)
+
+    def _tasks(self) -> tuple[Coroutine, ...]:
         parts = self.parts
         return (
             parts.reader.run(),
@@ -163,7 +169,7 @@
 
     async def _wait_idle(self) -> None:
         parts = self.parts
-        while not (parts.dispatcher.idle() and parts.claims.idle()):
+        while not (parts.dispatcher.idle() and parts.claims.idle):
             await asyncio.sleep(IDLE_POLL_S)
 
     async def _close(self) -> None:
