--- /dev/null
+++ b/examples/demo.py
@@ -0,0 +1,252 @@
+"""Run three instances with stand-ins at the true sizes, and judge what happened."""
+
+import asyncio
+import json
+import sys
+import tempfile
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+from baobabstandins.checker import (
+    Finding,
+    check_every_call_stated,
+    check_not_run_is_true,
+    check_own_whole_answers,
+    check_runs_at_most_once,
+)
+from baobabstandins.fleet import (
+    Fleet,
+    HistoryCaller,
+    Invoked,
+    PlatformOptions,
+    Returned,
+    TargetMember,
+    TargetOptions,
+    make_call,
+)
+from baobabstandins.target import JournalEntry
+from hdrh.histogram import HdrHistogram
+from tabulate import tabulate
+
+SERVICES_DIRECTORY = Path(__file__).parent / "services"
+ZONES = ("sapporo", "asahikawa", "hakodate")
+WARM_UP_S = 3.0
+LOAD_S = 8.0
+OUTAGE_WAIT_S = 3.0
+OUTAGE_CALLS = 20
+REFUSAL_LIMIT_MS = 50.0
+US_PER_S = 1_000_000
+MS_PER_S = 1_000
+US_PER_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Say how many targets a service has and how it is called."""
+
+    service_id: str
+    targets_per_zone: tuple[int, int, int]
+    calls_per_s: float
+    keyed: bool
+    repeats: int
+
+
+LOADS = (
+    ServiceLoad("menu", (4, 4, 4), 60.0, keyed=False, repeats=1),
+    ServiceLoad("fees", (3, 3, 2), 8.0, keyed=True, repeats=3),
+    ServiceLoad("orders", (2, 2, 2), 15.0, keyed=True, repeats=3),
+)
+
+
+async def start(fleet: Fleet) -> None:
+    """Start the stand-ins and an instance in each zone."""
+    await fleet.start_platform(PlatformOptions())
+    for load in LOADS:
+        for zone, count in zip(ZONES, load.targets_per_zone, strict=True):
+            prefix = f"{load.service_id}-{zone}"
+            await fleet.start_targets(prefix, count, zone, TargetOptions())
+    for zone in ZONES:
+        await fleet.start_instance(zone)
+
+
+async def publish(fleet: Fleet, load: ServiceLoad) -> None:
+    """Publish a service with its targets through the operators' command line."""
+    service = json.loads((SERVICES_DIRECTORY / f"{load.service_id}.json").read_text())
+    service["targets"] = [
+        _describe(member)
+        for member in fleet.targets.values()
+        if member.target_id.startswith(f"{load.service_id}-")
+    ]
+    path = fleet.directory / f"{load.service_id}.json"
+    path.write_text(json.dumps(service))
+    print(await baobabctl(fleet, "service", "put", str(path)), end="")
+
+
+def _describe(member: TargetMember) -> dict:
+    return {
+        "target_id": member.target_id,
+        "address": member.address,
+        "zone": member.zone,
+        "slots": member.slots,
+        "state": "active",
+    }
+
+
+async def baobabctl(fleet: Fleet, *arguments: str) -> str:
+    """Run the operators' command line against the first instance."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "baobabctl",
+        f"--server={fleet.instances[0].operator_address}",
+        *arguments,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    if process.returncode:
+        raise RuntimeError(f"baobabctl {arguments} ended with {process.returncode}")
+    return output.decode()
+
+
+async def send_load(caller: HistoryCaller, load: ServiceLoad, until_s: float) -> None:
+    """Send calls on a schedule; some of those with a key go out twice at once."""
+    calls = set()
+    count = 0
+    next_s = time.monotonic()
+    while time.monotonic() < until_s:
+        count += 1
+        call = make_call(f"/{load.service_id}", keyed=load.keyed)
+        if load.keyed and count % 10 == 0:
+            sending = caller.call_twice_at_once(call, load.repeats)
+        else:
+            sending = caller.call(call, load.repeats)
+        calls.add(asyncio.ensure_future(sending))
+        next_s += 1.0 / load.calls_per_s
+        await asyncio.sleep(max(0.0, next_s - time.monotonic()))
+    await asyncio.gather(*calls)
+
+
+def show(callers: Iterable[HistoryCaller]) -> None:
+    """Print outcomes and latency for each service."""
+    rows = []
+    for load, caller in zip(LOADS, callers, strict=True):
+        sent_at_s = {}
+        outcomes: dict[str, int] = {}
+        histogram = HdrHistogram(1, 60 * US_PER_S, 3)
+        for event in caller.history:
+            if isinstance(event, Invoked):
+                sent_at_s[event.call_id, event.attempt] = event.at_s
+            elif isinstance(event, Returned):
+                outcomes[event.outcome] = outcomes.get(event.outcome, 0) + 1
+                elapsed_s = event.at_s - sent_at_s[event.call_id, event.attempt]
+                histogram.record_value(int(elapsed_s * US_PER_S))
+        rows.append(
+            (
+                load.service_id,
+                *(
+                    outcomes.get(name, 0)
+                    for name in ("completed", "not-run", "unknown")
+                ),
+                *(histogram.get_value_at_percentile(p) / US_PER_MS for p in (50, 99)),
+            )
+        )
+    headers = ("service", "completed", "not run", "unknown", "p50 ms", "p99 ms")
+    print(tabulate(rows, headers, floatfmt=".1f"))
+
+
+async def refuse_during_outage(fleet: Fleet) -> list[Finding]:
+    """Send orders while the log is down; each must be refused at once."""
+    await fleet.put_faults(fleet.platform.address, {"outage": True})
+    await asyncio.sleep(OUTAGE_WAIT_S)
+    findings = []
+    request_ids = set()
+    slowest_ms = 0.0
+    async with aiohttp.ClientSession() as session:
+        for _ in range(OUTAGE_CALLS):
+            call = make_call("/orders", keyed=True)
+            sent_s = time.monotonic()
+            url = f"http://{fleet.instances[0].caller_address}{call.path}"
+            headers = {"Idempotency-Key": call.key}
+            async with session.post(url, data=call.body, headers=headers) as response:
+                elapsed_ms = (time.monotonic() - sent_s) * MS_PER_S
+                slowest_ms = max(slowest_ms, elapsed_ms)
+                request_ids.add(response.headers["Baobab-Request-Id"])
+                outcome = response.headers["Baobab-Outcome"]
+                if outcome != "not-run" or "Retry-After" not in response.headers:
+                    findings.append(Finding("outage", call.call_id, outcome))
+    await fleet.put_faults(fleet.platform.address, {"outage": False})
+    if slowest_ms > REFUSAL_LIMIT_MS:
+        findings.append(Finding("outage", "refusal", f"took {slowest_ms:.0f} ms"))
+    for entry in await read_journals(fleet):
+        if entry.request_id in request_ids:
+            findings.append(Finding("outage", entry.request_id, "ran"))
+    print(f"log down: {OUTAGE_CALLS} orders refused, slowest {slowest_ms:.1f} ms")
+    return findings
+
+
+async def judge(fleet: Fleet, callers: Iterable[HistoryCaller]) -> list[Finding]:
+    """Check the histories against the journals of the targets."""
+    history = [event for caller in callers for event in caller.history]
+    entries = await read_journals(fleet)
+    return [
+        *check_runs_at_most_once(entries),
+        *check_not_run_is_true(history, entries),
+        *check_own_whole_answers(history),
+        *check_every_call_stated(history),
+        *_find_missing(history, entries),
+    ]
+
+
+async def read_journals(fleet: Fleet) -> list[JournalEntry]:
+    """Return what ran at any target."""
+    entries = []
+    for target in fleet.targets.values():
+        entries += await fleet.journal(target)
+    return entries
+
+
+def _find_missing(history, entries) -> list[Finding]:
+    """Find keys that never ran although nothing failed."""
+    keys = {event.key for event in history if isinstance(event, Invoked) and event.key}
+    ran = {entry.key for entry in entries}
+    return [Finding("ran once", f"key {key}", "never ran") for key in keys - ran]
+
+
+async def run_demo(directory: Path) -> int:
+    """Run the whole demonstration and return the exit code."""
+    async with Fleet(directory) as fleet:
+        await start(fleet)
+        for load in LOADS:
+            await publish(fleet, load)
+        await asyncio.sleep(WARM_UP_S)
+        print(await baobabctl(fleet, "instance", "list"))
+        callers = [HistoryCaller(fleet.rotation, seed) for seed in range(len(LOADS))]
+        until_s = time.monotonic() + LOAD_S
+        async with callers[0], callers[1], callers[2]:
+            await asyncio.gather(
+                *(
+                    send_load(caller, load, until_s)
+                    for caller, load in zip(callers, LOADS, strict=True)
+                )
+            )
+        show(callers)
+        findings = await judge(fleet, callers)
+        findings += await refuse_during_outage(fleet)
+    for finding in findings:
+        print(finding)
+    ran_once = "every order and payment ran exactly once"
+    print(f"{len(findings)} findings" if findings else ran_once)
+    return 1 if findings else 0
+
+
+def main() -> None:
+    """Run the demonstration in a temporary directory."""
+    with tempfile.TemporaryDirectory() as directory:
+        sys.exit(asyncio.run(run_demo(Path(directory))))
+
+
+if __name__ == "__main__":
+    main()
