Add the scenario language and its runner

Scenarios are texts that a reader understands without the code: what starts, what load comes, which faults strike when, and which promises must hold. The runner drives real processes and hands the histories to the checker.

--- a/packages/baobabstandins/baobabstandins/fleet/_children.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_children.py
@@ -61,6 +61,10 @@
         self.send(signal.SIGTERM)
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.process.wait(), END_TIMEOUT_S)
+        await self.kill()
+
+    async def kill(self) -> None:
+        """End the process at once."""
         self.send(signal.SIGKILL)
         await self.process.wait()
 
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/scenarios/_runner.py
@@ -0,0 +1,114 @@
+"""Run scenarios with real processes and check their histories."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections import defaultdict
+from pathlib import Path
+
+from baobabstandins.checker import Finding, TargetRecord
+from baobabstandins.fleet import Fleet, HistoryCaller, Operator, TargetMember, make_call
+from baobabstandins.scenarios import _model as model
+from baobabstandins.scenarios._actions import act
+from baobabstandins.scenarios._expectations import check
+from baobabstandins.scenarios._run import Run
+from baobabstandins.scenarios._setup import set_up
+
+OBSERVE_S = 0.5
+END_TIMEOUT_S = 10.0
+
+
+async def run_scenario(scenario: model.Scenario, directory: Path) -> list[Finding]:
+    """Run a scenario and return what contradicts its expectations.
+
+    Settings, logs and the history of the callers go to `directory`.
+    """
+    async with Fleet(directory, _sections(scenario)) as fleet:
+        operator = Operator(fleet.rotation)
+        async with HistoryCaller(fleet.rotation, scenario.seed) as caller:
+            rng = random.Random(scenario.seed)
+            run = Run(scenario, fleet, operator, caller, rng)
+            await _execute(run)
+            _write_history(run, directory / "history.txt")
+            return [f for wanted in scenario.expectations for f in check(wanted, run)]
+
+
+async def _execute(run: Run) -> None:
+    run.started_at_s = time.time()
+    for step in run.scenario.setup:
+        await set_up(step, run)
+    sampling = asyncio.create_task(run.operator.sample_forever())
+    try:
+        async with asyncio.TaskGroup() as tasks:
+            for load in run.scenario.loads:
+                tasks.create_task(_send_load(load, run))
+            for event in run.scenario.events:
+                tasks.create_task(_do_event(event, run))
+        await _wait_terminated(run)
+        await asyncio.sleep(OBSERVE_S)
+    finally:
+        sampling.cancel()
+    run.records = [await _record(run, m) for m in run.fleet.targets.values()]
+    run.ended_at_s = time.time()
+
+
+async def _send_load(load: model.Load, run: Run) -> None:
+    """Send calls at an even rate, whether or not earlier ones have ended."""
+    loop = asyncio.get_running_loop()
+    started_s = loop.time()
+    async with asyncio.TaskGroup() as tasks:
+        for index in range(round(load.rate_per_s * load.duration_s)):
+            due_s = started_s + index / load.rate_per_s
+            await asyncio.sleep(max(0.0, due_s - loop.time()))
+            tasks.create_task(_send_call(load, run))
+
+
+async def _send_call(load: model.Load, run: Run) -> None:
+    service = run.services[load.service_id]
+    call = make_call(
+        service.prefix,
+        keyed=service.key_rule != "none",
+        tenant=load.tenant,
+        deadline_ms=load.deadline_ms,
+    )
+    drawn_percent = run.rng.uniform(0.0, 100.0)
+    if drawn_percent < load.twice_percent:
+        await run.caller.call_twice_at_once(call, load.repeats)
+        return
+    leaves = drawn_percent < load.twice_percent + load.leaving_percent
+    await run.caller.call(call, load.repeats, leaves=leaves)
+
+
+async def _do_event(event: model.Event, run: Run) -> None:
+    await asyncio.sleep(event.at_s)
+    await act(event.action, run)
+    run.last_event_at_s = max(run.last_event_at_s, time.time())
+
+
+async def _wait_terminated(run: Run) -> None:
+    ends = [member.child.wait_end() for member in run.terminated]
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(asyncio.gather(*ends), END_TIMEOUT_S)
+
+
+async def _record(run: Run, member: TargetMember) -> TargetRecord:
+    entries = await run.fleet.journal(member)
+    counters = await run.fleet.counters(member)
+    return TargetRecord(
+        member.target_id, member.zone, member.slots, tuple(entries), counters
+    )
+
+
+def _sections(scenario: model.Scenario) -> dict[str, dict[str, str]]:
+    sections: dict[str, dict[str, str]] = defaultdict(dict)
+    for setting in scenario.settings:
+        sections[setting.section][setting.key] = setting.value
+    return dict(sections)
+
+
+def _write_history(run: Run, path: Path) -> None:
+    events = [*run.caller.history, *run.operator.accepted, *run.operator.seen]
+    lines = [f"{event}\n" for event in events]
+    lines += [f"{r.target_id} {entry}\n" for r in run.records for entry in r.entries]
+    path.write_text("".join(lines))
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/scenarios/_setup.py
@@ -0,0 +1,47 @@
+"""Carry out the statements that set a scenario up."""
+
+from functools import singledispatch
+
+from baobabstandins.fleet import put_service
+from baobabstandins.scenarios import _model as model
+from baobabstandins.scenarios._run import Run
+
+
+@singledispatch
+async def set_up(step: object, run: Run) -> None:
+    """Carry out one statement."""
+    raise TypeError(f"no such step: {step!r}")
+
+
+@set_up.register
+async def _(step: model.StartPlatform, run: Run) -> None:
+    await run.fleet.start_platform(step.options)
+
+
+@set_up.register
+async def _(step: model.StartTargets, run: Run) -> None:
+    members = await run.fleet.start_targets(
+        step.service_id, step.count, step.zone, step.options
+    )
+    for member in members:
+        run.service_of_target[member.target_id] = step.service_id
+
+
+@set_up.register
+async def _(step: model.StartInstances, run: Run) -> None:
+    await run.fleet.start_instances(step.count, step.zone)
+
+
+@set_up.register
+async def _(step: model.PublishService, run: Run) -> None:
+    targets = [
+        member
+        for target_id, member in run.fleet.targets.items()
+        if run.service_of_target[target_id] == step.service_id
+    ]
+    change = put_service(
+        step.service_id, step.prefix, step.key_rule, step.cold_limit, targets
+    )
+    revision = await run.operator.publish(change)
+    await run.operator.wait_in_force(revision)
+    run.services[step.service_id] = step
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/scenarios/tests/test_parser.py
@@ -0,0 +1,51 @@
+import pytest
+from lark.exceptions import UnexpectedInput
+
+from baobabstandins.fleet import PlatformOptions, TargetOptions
+from baobabstandins.scenarios import _model as model
+from baobabstandins.scenarios import parse_scenario
+
+TEXT = """
+# What may not be repeated runs once.
+scenario "instance killed after dispatch" seed 7
+
+set callers leave_lag_ms = 500
+start platform list lag 200 ms
+start targets orders count 3 zone sapporo slots 2 cold  # cold at first
+start instances 3
+publish service orders prefix /orders key required
+load orders rate 40 for 5 s via any repeat 2 leaving 10 percent
+at 1 s kill instance 2
+at 2.5 s platform lose answers 3
+expect at most once
+expect no new work in zone sapporo after 3 s
+"""
+
+
+def test_scenario_becomes_typed():
+    scenario = parse_scenario(TEXT)
+    assert scenario == model.Scenario(
+        name="instance killed after dispatch",
+        seed=7,
+        settings=(model.Setting("callers", "leave_lag_ms", "500"),),
+        setup=(
+            model.StartPlatform(PlatformOptions(list_lag_ms=200.0)),
+            model.StartTargets(
+                "orders", 3, "sapporo", TargetOptions(slots=2, cold_at_start=True)
+            ),
+            model.StartInstances(3),
+            model.PublishService("orders", "/orders", "required"),
+        ),
+        loads=(model.Load("orders", 40.0, 5.0, repeats=2, leaving_percent=10.0),),
+        events=(
+            model.Event(1.0, model.KillInstance(2)),
+            model.Event(2.5, model.LoseAnswers(3)),
+        ),
+        expectations=(model.AtMostOnce(), model.NoWorkInZone("sapporo", 3.0)),
+    )
+
+
+def test_unknown_statement_is_refused_with_its_line():
+    with pytest.raises(UnexpectedInput) as refusal:
+        parse_scenario('scenario "x" seed 1\nstart platfrom\n')
+    assert refusal.value.line == 2
