--- /dev/null
+++ b/scenarios/test_scenarios.py
@@ -0,0 +1,15 @@
+"""Run every scenario of this directory."""
+
+from pathlib import Path
+
+import pytest
+
+from baobabstandins.scenarios import parse_scenario, run_scenario
+
+PATHS = sorted(Path(__file__).parent.glob("*.scn"))
+
+
+@pytest.mark.parametrize("path", PATHS, ids=lambda path: path.stem)
+async def test_scenario(path, tmp_path):
+    findings = await run_scenario(parse_scenario(path.read_text()), tmp_path)
+    assert [str(finding) for finding in findings] == []
