--- a/packages/baobabstandins/baobabstandins/scenarios/_runner.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_runner.py
@@ -16,6 +16,7 @@
 from baobabstandins.scenarios._setup import set_up
 
 OBSERVE_S = 0.5
+RUN_TIMEOUT_S = 60.0
 END_TIMEOUT_S = 10.0
 
 
@@ -29,15 +30,32 @@
         async with HistoryCaller(fleet.rotation, scenario.seed) as caller:
             rng = random.Random(scenario.seed)
             run = Run(scenario, fleet, operator, caller, rng)
-            await _execute(run)
+            findings = await _execute(run)
             _write_history(run, directory / "history.txt")
-            return [f for wanted in scenario.expectations for f in check(wanted, run)]
+            for expectation in scenario.expectations:
+                findings += check(expectation, run)
+            return findings
 
 
-async def _execute(run: Run) -> None:
+async def _execute(run: Run) -> list[Finding]:
+    """Carry the scenario out; return what went wrong with the run itself."""
     run.started_at_s = time.time()
     for step in run.scenario.setup:
         await set_up(step, run)
+    findings = []
+    try:
+        async with asyncio.timeout(RUN_TIMEOUT_S):
+            await _disturb(run)
+    except TimeoutError:
+        problem = f"did not end in {RUN_TIMEOUT_S} s"
+        findings.append(Finding("run ends", run.scenario.name, problem))
+    run.records = [await _record(run, m) for m in run.fleet.targets.values()]
+    run.ended_at_s = time.time()
+    return findings + _find_ended_instances(run)
+
+
+async def _disturb(run: Run) -> None:
+    """Send the load while the events happen."""
     sampling = asyncio.create_task(run.operator.sample_forever())
     try:
         async with asyncio.TaskGroup() as tasks:
@@ -49,8 +67,17 @@
         await asyncio.sleep(OBSERVE_S)
     finally:
         sampling.cancel()
-    run.records = [await _record(run, m) for m in run.fleet.targets.values()]
-    run.ended_at_s = time.time()
+
+
+def _find_ended_instances(run: Run) -> list[Finding]:
+    """Find instances that ended though nobody killed or terminated them."""
+    return [
+        Finding("instances stay up", member.instance_id, "ended by itself")
+        for member in run.fleet.instances
+        if not member.child.running
+        and not member.disturbed
+        and member not in run.terminated
+    ]
 
 
 async def _send_load(load: model.Load, run: Run) -> None:
--- a/scenarios/test_scenarios.py
+++ b/scenarios/test_scenarios.py
@@ -3,7 +3,6 @@
 from pathlib import Path
 
 import pytest
-
 from baobabstandins.scenarios import parse_scenario, run_scenario
 
 PATHS = sorted(Path(__file__).parent.glob("*.scn"))
