Check whole histories of publishers under faults of the log

A page that ends below the known state no longer confirms it: such a page is older than the state, so it cannot show that nothing newer exists.

--- a/packages/baobabring/baobabring/publication/_reader.py
+++ b/packages/baobabring/baobabring/publication/_reader.py
@@ -87,7 +87,10 @@
         self._progress_listeners.append(listener)
 
     async def run(self) -> None:
-        """Follow the stream and write snapshots until cancelled."""
+        """Follow the stream and write snapshots until cancelled.
+
+        Raises what a listener raises, as an exception group.
+        """
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._follow())
             tasks.create_task(self._keep_snapshots())
@@ -103,7 +106,8 @@
             return False
         self._note_reachable()
         self._apply_page(outcome)
-        at_end = self.fold.read_offset >= outcome.next_offset
+        # A page that ends below what is known here is older than the state.
+        at_end = self.fold.read_offset == outcome.next_offset
         if at_end and not self.fold.needs_snapshot:
             self._confirmed_read = read_number
             self._confirm(started_at_s)
--- a/packages/baobabring/baobabring/publication/tests/test_reader.py
+++ b/packages/baobabring/baobabring/publication/tests/test_reader.py
@@ -62,6 +62,17 @@
     assert reader.confirmed_at_s == 1_000.0
 
 
+async def test_a_page_older_than_the_state_confirms_nothing(log):
+    put_service(log, "menu", 0)
+    peer, reader = make_reader(log), make_reader(log)
+    await peer.read_once()
+    reader.load_from_peer(peer.fold.snapshot_payload())
+    log.records.clear()
+    await reader.read_once()
+    assert reader.confirmed_at_s is None
+    assert reader.configuration.revision == 1
+
+
 async def test_an_outage_keeps_the_configuration_and_confirms_nothing(log):
     put_service(log, "menu", 0)
     reader = make_reader(log)
@@ -182,3 +193,22 @@
     assert reader.fold.needs_snapshot
     assert reader.configuration.revision == 1
     assert reader.confirmed_at_s == 1_000.0
+
+
+async def test_the_configuration_outlives_an_outage_beyond_the_retention(log):
+    put_service(log, "menu", 0)
+    survivor = make_reader(log)
+    await survivor.read_once()
+    log.readable = False
+    await survivor.read_once()
+    log.clock.time_s += 2 * RETENTION_S
+    log.expire_older_than(log.clock.time_s - RETENTION_S)
+    log.readable = True
+    newcomer = make_reader(log, 2)
+    await newcomer.read_once()
+    assert newcomer.fold.needs_snapshot
+    await survivor.read_once()
+    log.clock.time_s += _reader.SNAPSHOT_SPREAD_S
+    assert await survivor.write_snapshot_if_due()
+    await newcomer.read_once()
+    assert newcomer.configuration == survivor.configuration
