Earn no probes while the view of the fleet settles

A fleet that starts all at once sees few of its instances in the first seconds, and each would divide the budget by too little. Before: 14 instances that each see 3 earn nearly five budgets until the list shows them. Now nothing is earned in the first three seconds. A peer's clock that runs ahead no longer puts off the next probe.

--- a/packages/baobabring/baobabring/probing/_budget.py
+++ b/packages/baobabring/baobabring/probing/_budget.py
@@ -14,20 +14,29 @@
         Smallest number of instances to divide by.
     depth_ms : float
         Target time that one instance can save up.
+    settle_s : float
+        Time after the fleet's size is first known in which nothing is earned.
     """
 
     def __init__(
-        self, fleet_ms_per_s: float, least_instances: int, depth_ms: float
+        self,
+        fleet_ms_per_s: float,
+        least_instances: int,
+        depth_ms: float,
+        settle_s: float,
     ) -> None:
         self.fleet_ms_per_s = fleet_ms_per_s
         self.least_instances = least_instances
         self.depth_ms = depth_ms
+        self.settle_s = settle_s
         self.tokens_ms = 0.0
         self._instances: int | None = None
-        self._refilled_at_s: float | None = None
+        self._refilled_at_s = 0.0
 
     def set_instances(self, instances: int, now_s: float) -> None:
         """Divide by this many instances from now on."""
+        if self._instances is None:
+            self._refilled_at_s = now_s + self.settle_s
         self._refill(now_s)
         self._instances = max(instances, self.least_instances)
 
@@ -41,11 +50,10 @@
         self.tokens_ms -= spent_ms
 
     def _refill(self, now_s: float) -> None:
-        last_s = now_s if self._refilled_at_s is None else self._refilled_at_s
-        self._refilled_at_s = max(now_s, last_s)
-        # Before the fleet's size is known, nothing may be spent.
-        if self._instances is None:
+        # Before the fleet's size is known, nothing is earned.
+        if self._instances is None or now_s <= self._refilled_at_s:
             return
         rate_ms_per_s = self.fleet_ms_per_s / self._instances
-        earned_ms = max(0.0, now_s - last_s) * rate_ms_per_s
+        earned_ms = (now_s - self._refilled_at_s) * rate_ms_per_s
+        self._refilled_at_s = now_s
         self.tokens_ms = min(self.depth_ms, self.tokens_ms + earned_ms)
--- a/packages/baobabring/baobabring/probing/_scheduler.py
+++ b/packages/baobabring/baobabring/probing/_scheduler.py
@@ -31,6 +31,9 @@
         Target time that one probe takes.
     least_instances : int
         Smallest fleet to divide the budget by.
+    settle_s : float
+        Time after the start in which nothing is earned, for the view of the fleet
+        to become whole.
     idle_after_s : float
         Time without traffic or probe after which a target is probed.
     urgent_interval_s : float
@@ -42,6 +45,7 @@
     probe_budget_ms_per_s: float = 120.0
     probe_cost_ms: float = 6.0
     least_instances: int = 3
+    settle_s: float = 3.0
     idle_after_s: float = 5.0
     urgent_interval_s: float = 0.5
     takeover_after_s: float = 0.5
@@ -56,6 +60,8 @@
         ):
             if not getattr(self, name) > 0:
                 raise ValueError(f"{name} must be > 0, got {getattr(self, name)}")
+        if not self.settle_s >= 0:
+            raise ValueError(f"settle_s must be >= 0, got {self.settle_s}")
         if self.least_instances < 1:
             raise ValueError(
                 f"least_instances must be >= 1, got {self.least_instances}"
@@ -112,6 +118,7 @@
             settings.probe_budget_ms_per_s,
             settings.least_instances,
             settings.probe_cost_ms * PROBES_SAVED_UP,
+            settings.settle_s,
         )
         self._subjects: dict[str, _Subject] = {}
         self._running: set[str] = set()
@@ -182,10 +189,12 @@
         self._apply(shared)
         return shared
 
-    def apply_shared(self, shared: SharedProbe) -> None:
+    def apply_shared(self, shared: SharedProbe, now_s: float) -> None:
         """Take over a peer's probe in place of one's own."""
         self.spend.shared_probes += 1
-        self._apply(shared)
+        # A peer's clock that runs ahead must not put the next probe off.
+        probed_at_s = min(shared.probed_at_s, now_s)
+        self._apply(SharedProbe(shared.target_id, probed_at_s, shared.healthy))
 
     def _apply(self, shared: SharedProbe) -> None:
         subject = self._subjects.get(shared.target_id)
--- a/packages/baobabring/baobabring/probing/tests/test_scheduler.py
+++ b/packages/baobabring/baobabring/probing/tests/test_scheduler.py
@@ -1,5 +1,7 @@
 """Tests of the choice of targets to probe."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -12,7 +14,7 @@
     ranked_probers,
 )
 
-SETTINGS = ProbeSettings(probe_budget_ms_per_s=60.0, least_instances=1)
+SETTINGS = ProbeSettings(probe_budget_ms_per_s=60.0, least_instances=1, settle_s=0.0)
 
 
 def make_scheduler(instance_id="a", live=("a",), targets=("t1",), bounds=SETTINGS):
@@ -28,6 +30,18 @@
     assert scheduler.due(0.1) == ["t1"]
 
 
+def test_nothing_is_earned_while_the_view_settles():
+    scheduler = make_scheduler(bounds=replace(SETTINGS, settle_s=3.0))
+    assert scheduler.due(3.0) == []
+    assert scheduler.due(3.1) == ["t1"]
+
+
+def test_peer_clock_ahead_does_not_put_probes_off():
+    scheduler = make_scheduler()
+    scheduler.apply_shared(SharedProbe("t1", 9999.0, healthy=True), 1.0)
+    assert scheduler.due(6.0) == ["t1"]
+
+
 def test_nothing_is_spent_before_the_fleet_is_known():
     scheduler = create_probe_scheduler("a", SETTINGS)
     scheduler.set_targets(["t1"], 0.0)
@@ -50,7 +64,7 @@
 
 def test_probe_of_a_peer_spares_the_probe():
     scheduler = make_scheduler()
-    scheduler.apply_shared(SharedProbe("t1", 1.0, healthy=True))
+    scheduler.apply_shared(SharedProbe("t1", 1.0, healthy=True), 1.0)
     assert scheduler.due(5.0) == []
     assert scheduler.spend.shared_probes == 1
 
@@ -66,7 +80,7 @@
 def test_reserve_is_kept_from_idle_targets():
     scheduler = make_scheduler(targets=("t1", "t2"))
     for target_id in ("t1", "t2"):
-        scheduler.apply_shared(SharedProbe(target_id, 1.0, healthy=True))
+        scheduler.apply_shared(SharedProbe(target_id, 1.0, healthy=True), 1.0)
     assert len(scheduler.due(10.0)) == 1
     scheduler.set_need("t2", ProbeNeed.RETURNED, 10.0)
     scheduler.set_need("t1", ProbeNeed.RETURNED, 10.0)
@@ -135,7 +149,7 @@
                 shared = scheduler.probe_ended(target_id, True, now_s)
                 noticed_at_s.setdefault(target_id, now_s)
                 for peer in schedulers:
-                    peer.apply_shared(shared)
+                    peer.apply_shared(shared, now_s)
     return noticed_at_s
 
 
