--- a/packages/baobabring/baobabring/membership/_membership.py
+++ b/packages/baobabring/baobabring/membership/_membership.py
@@ -196,8 +196,10 @@
     def _state(self, entry: _Entry, now_s: float) -> MemberState:
         if now_s - entry.last_sign_s > self.settings.silent_after_s:
             return MemberState.SILENT
-        said = (entry.listed, entry.heartbeat)
-        if any(source and source.state is InstanceState.LEAVING for source in said):
+        listed, heartbeat = entry.listed, entry.heartbeat
+        if listed is not None and listed.state is InstanceState.LEAVING:
+            return MemberState.LEAVING
+        if heartbeat is not None and heartbeat.state is InstanceState.LEAVING:
             return MemberState.LEAVING
         return MemberState.LIVE
 
