--- a/benchmarks/capacity_fleet_probes.py
+++ b/benchmarks/capacity_fleet_probes.py
@@ -46,7 +46,7 @@
         ended = []
         for scheduler in schedulers:
             for result in shared:
-                scheduler.apply_shared(result, now_s)
+                scheduler.apply_shared(result)
             for target_id in busy:
                 scheduler.traffic_seen(target_id, now_s)
             if returned:
--- a/packages/baobabring/baobabring/probing/_scheduler.py
+++ b/packages/baobabring/baobabring/probing/_scheduler.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+import msgspec
+
 from baobabring.probing._budget import ProbeBudget
 from baobabring.probing._rendezvous import ranked_probers
 
@@ -68,8 +70,7 @@
             )
 
 
-@dataclass(frozen=True, slots=True)
-class SharedProbe:
+class SharedProbe(msgspec.Struct, frozen=True, array_like=True):
     """Hold the result of a probe, for the peers."""
 
     target_id: str
@@ -123,6 +124,7 @@
         self._subjects: dict[str, _Subject] = {}
         self._running: set[str] = set()
         self._live: tuple[str, ...] = ()
+        self._asked_at_s = 0.0
 
     def set_instances(self, live_ids: Iterable[str], listed: int, now_s: float) -> None:
         """Set the live instances and the length of the platform's list."""
@@ -161,6 +163,7 @@
 
     def due(self, now_s: float) -> list[str]:
         """Return the targets to probe now; their cost counts as spent."""
+        self._asked_at_s = now_s
         chosen = []
         available_ms = self._budget.available_ms(now_s)
         cost_ms = self.settings.probe_cost_ms
@@ -189,11 +192,11 @@
         self._apply(shared)
         return shared
 
-    def apply_shared(self, shared: SharedProbe, now_s: float) -> None:
+    def apply_shared(self, shared: SharedProbe) -> None:
         """Take over a peer's probe in place of one's own."""
         self.spend.shared_probes += 1
         # A peer's clock that runs ahead must not put the next probe off.
-        probed_at_s = min(shared.probed_at_s, now_s)
+        probed_at_s = min(shared.probed_at_s, self._asked_at_s)
         self._apply(SharedProbe(shared.target_id, probed_at_s, shared.healthy))
 
     def _apply(self, shared: SharedProbe) -> None:
--- a/packages/baobabring/baobabring/probing/tests/test_scheduler.py
+++ b/packages/baobabring/baobabring/probing/tests/test_scheduler.py
@@ -37,8 +37,10 @@
 
 
 def test_peer_clock_ahead_does_not_put_probes_off():
-    scheduler = make_scheduler()
-    scheduler.apply_shared(SharedProbe("t1", 9999.0, healthy=True), 1.0)
+    scheduler = make_scheduler(targets=())
+    scheduler.due(1.0)
+    scheduler.set_targets(["t1"], 1.0)
+    scheduler.apply_shared(SharedProbe("t1", 9999.0, healthy=True))
     assert scheduler.due(6.0) == ["t1"]
 
 
@@ -63,8 +65,10 @@
 
 
 def test_probe_of_a_peer_spares_the_probe():
-    scheduler = make_scheduler()
-    scheduler.apply_shared(SharedProbe("t1", 1.0, healthy=True), 1.0)
+    scheduler = make_scheduler(targets=())
+    scheduler.due(1.0)
+    scheduler.set_targets(["t1"], 1.0)
+    scheduler.apply_shared(SharedProbe("t1", 1.0, healthy=True))
     assert scheduler.due(5.0) == []
     assert scheduler.spend.shared_probes == 1
 
@@ -78,9 +82,11 @@
 
 
 def test_reserve_is_kept_from_idle_targets():
-    scheduler = make_scheduler(targets=("t1", "t2"))
+    scheduler = make_scheduler(targets=())
+    scheduler.due(1.0)
+    scheduler.set_targets(["t1", "t2"], 1.0)
     for target_id in ("t1", "t2"):
-        scheduler.apply_shared(SharedProbe(target_id, 1.0, healthy=True), 1.0)
+        scheduler.apply_shared(SharedProbe(target_id, 1.0, healthy=True))
     assert len(scheduler.due(10.0)) == 1
     scheduler.set_need("t2", ProbeNeed.RETURNED, 10.0)
     scheduler.set_need("t1", ProbeNeed.RETURNED, 10.0)
@@ -149,7 +155,7 @@
                 shared = scheduler.probe_ended(target_id, True, now_s)
                 noticed_at_s.setdefault(target_id, now_s)
                 for peer in schedulers:
-                    peer.apply_shared(shared, now_s)
+                    peer.apply_shared(shared)
     return noticed_at_s
 
 
