Drop counts of peers that have gone, end has_room at the first target

Balancer.set_live takes the live instances for the guard of cold starts and for the peers' counts; entries of instances that are gone no longer pile up. has_room built the whole list of targets on each step of a drain.

--- a/packages/baobabring/baobabring/balancing/_balancer.py
+++ b/packages/baobabring/baobabring/balancing/_balancer.py
@@ -12,6 +12,7 @@
     PROBATION_ANSWERS,
     ServiceState,
     TargetEntry,
+    create_entry,
 )
 from baobabring.balancing._settings import BalancingSettings
 from baobabring.balancing._sharing import InFlightSharing
@@ -96,6 +97,11 @@
         for service in self._services.values():
             self._sort_targets(service, now_s)
 
+    def set_live(self, instance_ids: frozenset[str]) -> None:
+        """Take the live instances; counts of peers that have gone are dropped."""
+        self.cold_start.set_live(instance_ids)
+        self.sharing.keep(instance_ids)
+
     def choose(
         self, service_id: str, now_s: float, exclude: frozenset[str] = NO_TARGETS
     ) -> str | None:
@@ -111,7 +117,15 @@
 
     def has_room(self, service_id: str, now_s: float) -> bool:
         """Tell whether any target could take one more attempt."""
-        return bool(self._room(service_id, now_s, NO_TARGETS))
+        service = self._service(service_id, now_s)
+        if service is None:
+            return False
+        factor = service.scale.factor(now_s) if self._uses_peers else 0.0
+        for candidate in self._scanned(service.warm):
+            in_flight = candidate.own_in_flight + candidate.peers_scaled * factor
+            if in_flight <= candidate.room_limit:
+                return True
+        return bool(service.cold and self._cold_room(service, now_s))
 
     def has_targets(self, service_id: str) -> bool:
         """Tell whether a service has targets that operators let take new work."""
@@ -253,7 +267,10 @@
             )
         state.entries = {}
         for target in service.targets:
-            entry = self._entry(target, state, previous)
+            earlier = previous.get(target.target_id)
+            entry = create_entry(target, state, earlier)
+            entry.candidate.local_zone = target.zone == self._zone
+            entry.set_room_limit(self._settings.oversubscription)
             entry.in_use = (
                 target.state is TargetState.ACTIVE
                 and configuration.zone_state(target.zone) is ZoneState.IN
@@ -263,23 +280,6 @@
         state.ejection.configure({e for e in state.entries if state.entries[e].in_use})
         return state
 
-    def _entry(
-        self, target: Target, service: ServiceState, previous: dict[str, TargetEntry]
-    ) -> TargetEntry:
-        """Return a new entry that carries over the state of an earlier one."""
-        candidate = Candidate(target.target_id, target.slots)
-        entry = TargetEntry(target, candidate, service, in_use=True)
-        earlier = previous.get(target.target_id)
-        if earlier is not None:
-            entry.candidate = earlier.candidate
-            entry.bounds_s = earlier.bounds_s
-            entry.ejected = earlier.ejected
-            entry.probation_left = earlier.probation_left
-        entry.candidate.slots = target.slots
-        entry.candidate.local_zone = target.zone == self._zone
-        entry.set_room_limit(self._settings.oversubscription)
-        return entry
-
     def _note_returns(
         self, revision: int, known: set[str], were_in_use: set[str], now_s: float
     ) -> None:
--- a/packages/baobabring/baobabring/balancing/_peers.py
+++ b/packages/baobabring/baobabring/balancing/_peers.py
@@ -96,6 +96,10 @@
         self._add(peer, 1)
         return True
 
+    def senders(self) -> set[str]:
+        """Return the peers whose counts are held."""
+        return set(self._peers)
+
     def forget(self, sender: str) -> None:
         """Drop the counts of a peer that has gone."""
         peer = self._peers.pop(sender, None)
--- a/packages/baobabring/baobabring/balancing/_service.py
+++ b/packages/baobabring/baobabring/balancing/_service.py
@@ -95,3 +95,22 @@
             return
         change_ms = SERVICE_LATENCY_GAIN * (latency_ms - self.mean_latency_ms)
         self.mean_latency_ms = max(self.mean_latency_ms + change_ms, 0.01)
+
+
+def create_entry(
+    target: Target, service: ServiceState, earlier: TargetEntry | None
+) -> TargetEntry:
+    """Return an entry that carries over the state of an earlier one."""
+    if earlier is None:
+        candidate = Candidate(target.target_id, target.slots)
+        return TargetEntry(target, candidate, service, in_use=True)
+    earlier.candidate.slots = target.slots
+    return TargetEntry(
+        target,
+        earlier.candidate,
+        service,
+        in_use=True,
+        ejected=earlier.ejected,
+        probation_left=earlier.probation_left,
+        bounds_s=earlier.bounds_s,
+    )
--- a/packages/baobabring/baobabring/balancing/_sharing.py
+++ b/packages/baobabring/baobabring/balancing/_sharing.py
@@ -64,6 +64,11 @@
         """Drop the counts of a peer that has gone."""
         self._peers.forget(sender)
 
+    def keep(self, senders: frozenset[str]) -> None:
+        """Drop the counts of all peers but these."""
+        for sender in self._peers.senders() - senders:
+            self._peers.forget(sender)
+
     def count_changed(self, candidate: Candidate) -> None:
         """Note that own calls in flight to a target changed."""
         target_id = candidate.target_id
--- a/packages/baobabring/baobabring/balancing/tests/test_balancer.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_balancer.py
@@ -143,6 +143,23 @@
     assert balancer.usable_capacity("menu", 1.1) == 2.0
 
 
+def test_gone_peers_count_nothing():
+    balancer = make_warm_balancer(count=1)
+    balancer.sharing.apply(update({"t0": 2}, 1, 1.0), 1.0)
+    balancer.set_live(frozenset({"peer"}))
+    assert not balancer.has_room("menu", 1.0)
+    balancer.set_live(frozenset({"other"}))
+    assert balancer.has_room("menu", 1.0)
+
+
+def test_has_targets_counts_full_ones_but_none_that_leave():
+    balancer = make_warm_balancer(count=1)
+    balancer.sharing.apply(update({"t0": 2}, 1, 1.0), 1.0)
+    assert balancer.has_targets("menu")
+    balancer.configure(make_configuration([], 2), 1.1)
+    assert not balancer.has_targets("menu")
+
+
 def test_settings_name_the_parameter_and_the_value():
     with pytest.raises(ValueError, match="cold_lease_s must be positive, got 0"):
         BalancingSettings(cold_lease_s=0)
