--- a/packages/baobabring/baobabring/callers/_app.py
+++ b/packages/baobabring/baobabring/callers/_app.py
@@ -13,6 +13,7 @@
     BadCall,
     CallerConnectionMiddleware,
     build_call,
+    has_body,
     read_body,
 )
 from baobabring.calls import Router
@@ -77,11 +78,13 @@
     async def _read_call(
         self, request: falcon.asgi.Request, call_id: str
     ) -> Call | BadCall:
-        try:
-            reading = read_body(request, self.body_limit_bytes)
-            body = await asyncio.wait_for(reading, BODY_TIMEOUT_S)
-        except TimeoutError:
-            return BadCall(Reason.BAD_REQUEST, "the body came too slowly")
+        body: bytes | BadCall | None = b""
+        if has_body(request):
+            try:
+                async with asyncio.timeout(BODY_TIMEOUT_S):
+                    body = await read_body(request, self.body_limit_bytes)
+            except TimeoutError:
+                return BadCall(Reason.BAD_REQUEST, "the body came too slowly")
         if body is None:
             return BadCall(Reason.CALLER_LEFT, "the caller left")
         if isinstance(body, BadCall):
--- a/packages/baobabring/baobabring/callers/_requests.py
+++ b/packages/baobabring/baobabring/callers/_requests.py
@@ -65,6 +65,13 @@
         await self.app(scope, connection.receive, send)
 
 
+def has_body(request: falcon.asgi.Request) -> bool:
+    """Tell whether a request announces a body."""
+    if request.content_length is None:
+        return request.get_header("Transfer-Encoding") is not None
+    return request.content_length > 0
+
+
 async def read_body(
     request: falcon.asgi.Request, limit_bytes: int
 ) -> bytes | BadCall | None:
@@ -72,10 +79,6 @@
     declared_bytes = request.content_length
     if declared_bytes is not None and declared_bytes > limit_bytes:
         return BadCall(Reason.TOO_LARGE, f"the body exceeds {limit_bytes} bytes")
-    if declared_bytes == 0 or (
-        declared_bytes is None and request.get_header("Transfer-Encoding") is None
-    ):
-        return b""
     body = await request.stream.read(limit_bytes + 1)
     if request.scope[CallerConnectionMiddleware.SCOPE_KEY].left:
         return None
--- /dev/null
+++ b/packages/baobabring/baobabring/program/_call_metrics.py
@@ -0,0 +1,65 @@
+"""Counting of calls and attempts, with the labelled metrics kept at hand."""
+
+from functools import cache
+
+from prometheus_client import Counter, Histogram
+
+from baobabring.callers import outcome_name
+from baobabring.calls import AnswerCall
+from baobabring.model import AttemptOutcome, Completed
+from baobabring.program._metrics import (
+    ATTEMPTS,
+    CALL_SECONDS,
+    CALLS,
+    TENANT_CALL_SECONDS,
+    TenantLabels,
+)
+
+
+class CallMetrics:
+    """Count final answers and ends of attempts."""
+
+    def __init__(self) -> None:
+        self._tenant_labels = TenantLabels()
+
+    def count_call(self, command: AnswerCall, now_s: float) -> None:
+        """Count a call that got its final answer."""
+        call = command.call
+        elapsed_s = now_s - call.arrived_at_s
+        request_class = call.rule.request_class
+        _class_histogram(call.service_id, request_class).observe(elapsed_s)
+        tenant = self._tenant_labels.label(call.tenant)
+        _tenant_histogram(tenant).observe(elapsed_s)
+        outcome = command.outcome
+        reason = "" if isinstance(outcome, Completed) else outcome.reason.value
+        name = outcome_name(outcome)
+        _call_counter(call.service_id, request_class, name, reason).inc()
+
+    def count_attempt(self, service_id: str, outcome: AttemptOutcome) -> None:
+        """Count an attempt that ended."""
+        _attempt_counter(service_id, type(outcome).__name__.lower()).inc()
+
+
+# Looking labels up again for each call costs more than counting.
+
+
+@cache
+def _class_histogram(service_id: str, request_class: str) -> Histogram:
+    return CALL_SECONDS.labels(service_id, request_class)
+
+
+@cache
+def _tenant_histogram(tenant: str) -> Histogram:
+    return TENANT_CALL_SECONDS.labels(tenant)
+
+
+@cache
+def _call_counter(
+    service_id: str, request_class: str, outcome: str, reason: str
+) -> Counter:
+    return CALLS.labels(service_id, request_class, outcome, reason)
+
+
+@cache
+def _attempt_counter(service_id: str, outcome: str) -> Counter:
+    return ATTEMPTS.labels(service_id, outcome)
--- a/packages/baobabring/baobabring/program/_dispatcher.py
+++ b/packages/baobabring/baobabring/program/_dispatcher.py
@@ -1,12 +1,13 @@
 """Task side of the call engine: turns its commands into traffic."""
 
 import asyncio
+import contextlib
 import secrets
 from collections.abc import Callable, Iterable
 
 import logbook
 
-from baobabring.callers import CallHandler, CallResult, outcome_name
+from baobabring.callers import CallHandler, CallResult
 from baobabring.calls import (
     AnswerCall,
     CallEngine,
@@ -15,20 +16,16 @@
     StartAttempt,
 )
 from baobabring.claims import ClaimEvent
-from baobabring.model import Call, Completed, Configuration, Lost, Reason
+from baobabring.model import Call, Configuration, Lost, Reason
 from baobabring.probing import ProbeScheduler
-from baobabring.program._metrics import (
-    ATTEMPTS,
-    CALL_SECONDS,
-    CALLS,
-    CALLS_IN_PROGRESS,
-    TENANT_CALL_SECONDS,
-    TenantLabels,
-)
+from baobabring.program._call_metrics import CallMetrics
+from baobabring.program._metrics import CALLS_IN_PROGRESS
 from baobabring.targets import AttemptPlan, TargetClient
 from baobabring.utils import Clock
 
 CALL_ID_BYTES = 6
+BUSY_TICK_S = 0.005
+IDLE_TICK_S = 0.05
 
 LOG = logbook.Logger("calls")
 
@@ -53,9 +50,10 @@
         self._futures: dict[str, asyncio.Future[CallResult]] = {}
         self._attempts: dict[tuple[str, int], asyncio.Task] = {}
         self._router = Router(Configuration())
-        self._tenant_labels = TenantLabels()
+        self.metrics = CallMetrics()
         self._ready = False
         self._leaving = False
+        self._arrived = asyncio.Event()
         self._service_ids: tuple[str, ...] = ()
         self._flush_claims: Callable[[], None] | None = None
 
@@ -75,6 +73,7 @@
         future = asyncio.get_running_loop().create_future()
         self._futures[call.call_id] = future
         self.engine.arrive(call, self.clock.now_s())
+        self._arrived.set()
         self.run_commands()
         if call.key is not None:
             self._flush_claims()
@@ -139,6 +138,16 @@
         self.run_commands()
         CALLS_IN_PROGRESS.set(self.engine.calls_in_progress)
 
+    async def wait_for_tick(self) -> None:
+        """Wait until the next tick; with no calls, until one comes or for longer."""
+        if not self.idle():
+            await asyncio.sleep(BUSY_TICK_S)
+            return
+        self._arrived.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_TICK_S):
+                await self._arrived.wait()
+
     def idle(self) -> bool:
         """Tell whether every call has its final answer."""
         return self.engine.calls_in_progress == 0
@@ -173,7 +182,7 @@
             outcome = Lost(Reason.CONNECTION_LOST)
         call = command.call
         self._attempts.pop((call.call_id, command.attempt), None)
-        ATTEMPTS.labels(call.service_id, type(outcome).__name__.lower()).inc()
+        self.metrics.count_attempt(call.service_id, outcome)
         now_s = self.clock.now_s()
         self.prober.traffic_seen(command.target_id, now_s)
         self.engine.attempt_ended(call.call_id, command.attempt, outcome, now_s)
@@ -185,21 +194,8 @@
             task.cancel()
 
     def _answer(self, command: AnswerCall) -> None:
-        self._count(command)
+        self.metrics.count_call(command, self.clock.now_s())
         call_id = command.call.call_id
         future = self._futures.pop(call_id, None)
         if future is not None and not future.done():
             future.set_result(CallResult(call_id, command.outcome, command.tries))
-
-    def _count(self, command: AnswerCall) -> None:
-        call = command.call
-        elapsed_s = self.clock.now_s() - call.arrived_at_s
-        request_class = call.rule.request_class
-        CALL_SECONDS.labels(call.service_id, request_class).observe(elapsed_s)
-        tenant = self._tenant_labels.label(call.tenant)
-        TENANT_CALL_SECONDS.labels(tenant).observe(elapsed_s)
-        outcome = command.outcome
-        reason = "" if isinstance(outcome, Completed) else outcome.reason.value
-        CALLS.labels(
-            call.service_id, request_class, outcome_name(outcome), reason
-        ).inc()
--- a/packages/baobabring/baobabring/program/_node.py
+++ b/packages/baobabring/baobabring/program/_node.py
@@ -18,8 +18,7 @@
 
 LOG = logbook.Logger("node")
 
-TICK_S = 0.005
-SLOW_TICKS = 20
+VIEW_INTERVAL_S = 0.1
 IDLE_POLL_S = 0.02
 LEAVE_LIMIT_S = 60.0
 RPC_GRACE_S = 1.0
@@ -110,7 +109,6 @@
             parts.claims_task.run(),
             parts.cold_start_task.read(),
             parts.cold_start_task.propose(),
-            parts.sharing_task.run(),
             parts.probe_task.run(),
             self._tick(),
         )
@@ -124,14 +122,17 @@
         REVISION.set(configuration.revision)
 
     async def _tick(self) -> None:
-        count = 0
+        parts = self.parts
+        view_due_s = 0.0
         while True:
-            if count % SLOW_TICKS == 0:
+            now_s = parts.clock.now_s()
+            if now_s >= view_due_s:
+                view_due_s = now_s + VIEW_INTERVAL_S
                 self._adopt_view()
-            count += 1
-            self.parts.claims_task.tick()
-            self.parts.dispatcher.tick()
-            await asyncio.sleep(TICK_S)
+            parts.claims_task.tick()
+            parts.dispatcher.tick()
+            parts.sharing_task.tick()
+            await parts.dispatcher.wait_for_tick()
 
     def _adopt_view(self) -> None:
         """Hand the view of the fleet to the parts that divide something by it."""
@@ -195,6 +196,8 @@
         host=host,
         port=int(port),
         http="httptools",
+        ws="none",
+        proxy_headers=False,
         loop="none",
         lifespan="off",
         log_config=None,
