--- a/packages/baobabstandins/baobabstandins/fleet/_caller.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_caller.py
@@ -43,16 +43,21 @@
 
 
 def make_call(
-    prefix: str, *, keyed: bool, tenant: str = "default", deadline_ms: int = 3000
+    prefix: str,
+    *,
+    idempotent: bool,
+    key_sent: bool = True,
+    tenant: str = "default",
+    deadline_ms: int = 3000,
 ) -> Call:
     """Return a call that differs from every other one in id, key, path and body."""
     call_id = str(uuid_utils.uuid7())
     return Call(
         call_id=call_id,
-        method="POST" if keyed else "GET",
+        method="GET" if idempotent else "POST",
         path=f"{prefix}/{call_id}",
-        body=call_id.encode() if keyed else b"",
-        key=str(uuid_utils.uuid7()) if keyed else "",
+        body=b"" if idempotent else call_id.encode(),
+        key=str(uuid_utils.uuid7()) if key_sent and not idempotent else "",
         tenant=tenant,
         deadline_ms=deadline_ms,
     )
--- a/packages/baobabstandins/baobabstandins/fleet/_fleet.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_fleet.py
@@ -107,6 +107,7 @@
     def kill(self, member: InstanceMember) -> None:
         """End an instance at once."""
         member.disturbed = True
+        member.killed = True
         member.child.send(signal.SIGKILL)
 
     def terminate(self, member: InstanceMember) -> None:
--- a/packages/baobabstandins/baobabstandins/fleet/_members.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_members.py
@@ -40,6 +40,7 @@
     child: ChildProcess
     in_rotation: bool = False
     disturbed: bool = False
+    killed: bool = False
     ready_at_s: float = 0.0
 
 
--- a/packages/baobabstandins/baobabstandins/fleet/tests/test_caller.py
+++ b/packages/baobabstandins/baobabstandins/fleet/tests/test_caller.py
@@ -26,7 +26,7 @@
 
 async def history_of(member, **options):
     async with HistoryCaller(lambda: [member], seed=1) as caller:
-        await caller.call(make_call("/orders", keyed=True), **options)
+        await caller.call(make_call("/orders", idempotent=False), **options)
     return caller.history
 
 
--- a/packages/baobabstandins/baobabstandins/scenarios/_model.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_model.py
@@ -63,6 +63,7 @@
     twice_percent: float = 0.0
     tenant: str = "default"
     deadline_ms: int = 3000
+    key_sent: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/baobabstandins/baobabstandins/scenarios/_parser.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_parser.py
@@ -119,6 +119,9 @@
     def twice(self, percent):
         return "twice_percent", percent
 
+    def without_key(self):
+        return "key_sent", False
+
     def tenant(self, name):
         return "tenant", name
 
--- a/packages/baobabstandins/baobabstandins/scenarios/_runner.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_runner.py
@@ -75,7 +75,7 @@
         Finding("instances stay up", member.instance_id, "ended by itself")
         for member in run.fleet.instances
         if not member.child.running
-        and not member.disturbed
+        and not member.killed
         and member not in run.terminated
     ]
 
@@ -95,7 +95,8 @@
     service = run.services[load.service_id]
     call = make_call(
         service.prefix,
-        keyed=service.key_rule != "none",
+        idempotent=service.key_rule == "none",
+        key_sent=load.key_sent,
         tenant=load.tenant,
         deadline_ms=load.deadline_ms,
     )
