Find racing changes that were accepted on one base; load cold targets more

Cause: with the guard of cold starts switched off the scenarios still passed, since calls seldom met at one target; with the check of the base revision switched off the race still passed, since each change got a revision of its own.

--- a/packages/baobabstandins/baobabstandins/checker/__init__.py
+++ b/packages/baobabstandins/baobabstandins/checker/__init__.py
@@ -9,7 +9,7 @@
     check_share_completed,
 )
 from baobabstandins.checker._configuration import (
-    check_accepted_revisions_differ,
+    check_one_change_accepted,
     check_configuration_in_force,
     check_configuration_never_reverts,
 )
@@ -24,7 +24,7 @@
 __all__ = [
     "Finding",
     "TargetRecord",
-    "check_accepted_revisions_differ",
+    "check_one_change_accepted",
     "check_cold_limit",
     "check_configuration_in_force",
     "check_configuration_never_reverts",
--- a/packages/baobabstandins/baobabstandins/checker/_configuration.py
+++ b/packages/baobabstandins/baobabstandins/checker/_configuration.py
@@ -6,13 +6,14 @@
 from baobabstandins.fleet import ChangeAccepted, ConfigurationSeen
 
 
-def check_accepted_revisions_differ(accepted: list[ChangeAccepted]) -> list[Finding]:
-    """Find revisions under which more than one change was accepted."""
-    counts = Counter(change.revision for change in accepted)
+def check_one_change_accepted(accepted: list[ChangeAccepted]) -> list[Finding]:
+    """Find revisions under which, or based on which, two changes were accepted."""
+    bases = Counter(f"base {change.base_revision}" for change in accepted)
+    revisions = Counter(f"revision {change.revision}" for change in accepted)
     return [
-        Finding("one change a revision", f"revision {revision}", f"accepted {n} times")
-        for revision, n in counts.items()
-        if n > 1
+        Finding("one change accepted", place, f"{count} changes were accepted")
+        for place, count in (bases + revisions).items()
+        if count > 1
     ]
 
 
--- a/packages/baobabstandins/baobabstandins/checker/tests/test_configuration.py
+++ b/packages/baobabstandins/baobabstandins/checker/tests/test_configuration.py
@@ -1,5 +1,7 @@
+import pytest
+
 from baobabstandins.checker import (
-    check_accepted_revisions_differ,
+    check_one_change_accepted,
     check_configuration_in_force,
     check_configuration_never_reverts,
 )
@@ -10,9 +12,15 @@
     return ConfigurationSeen(instance_id, revision, digest or str(revision), at_s)
 
 
-def test_two_changes_accepted_under_one_revision_are_found():
-    accepted = [ChangeAccepted(4, "a", 1.0), ChangeAccepted(4, "b", 1.0)]
-    assert len(check_accepted_revisions_differ(accepted)) == 1
+@pytest.mark.parametrize(
+    ("base_revision", "revision", "count"), [(3, 4, 2), (3, 5, 1), (2, 4, 1), (4, 5, 0)]
+)
+def test_two_changes_accepted_on_one_base_or_as_one_revision_are_found(
+    base_revision, revision, count
+):
+    first = ChangeAccepted(3, 4, "a", 1.0)
+    second = ChangeAccepted(base_revision, revision, "b", 1.0)
+    assert len(check_one_change_accepted([first, second])) == count
 
 
 def test_instance_that_goes_back_is_found():
@@ -31,6 +39,6 @@
 
 
 def test_old_revision_after_the_grace_is_found():
-    accepted = [ChangeAccepted(4, "a", 10.0)]
+    accepted = [ChangeAccepted(3, 4, "a", 10.0)]
     assert check_configuration_in_force([seen(3, 12.0)], accepted, 3.0) == []
     assert len(check_configuration_in_force([seen(3, 14.0)], accepted, 3.0)) == 1
--- a/packages/baobabstandins/baobabstandins/fleet/_history.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_history.py
@@ -69,6 +69,7 @@
 class ChangeAccepted:
     """Tell that a change of the configuration was accepted."""
 
+    base_revision: int
     revision: int
     change: str
     at_s: float
--- a/packages/baobabstandins/baobabstandins/fleet/_members.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_members.py
@@ -53,6 +53,7 @@
     queue_limit: int = 8
     cold_at_start: bool = False
     cold_limit: int = 1
+    cold_ms: float = 1000.0
     seed: int = 0
 
     def arguments(self) -> list[str]:
@@ -63,6 +64,7 @@
             f"--queue_limit={self.queue_limit}",
             f"--cold_at_start={str(self.cold_at_start).lower()}",
             f"--cold_limit={self.cold_limit}",
+            f"--cold_ms={self.cold_ms}",
             f"--seed={self.seed}",
         ]
 
--- a/packages/baobabstandins/baobabstandins/fleet/_operator.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_operator.py
@@ -113,7 +113,8 @@
             reply = await getattr(stub, change.method)(request, timeout=RPC_TIMEOUT_S)
         if reply.HasField("accepted"):
             revision = reply.accepted.revision
-            self.accepted.append(ChangeAccepted(revision, change.name, time.time()))
+            accepted = ChangeAccepted(base_revision, revision, change.name, time.time())
+            self.accepted.append(accepted)
         return reply
 
     async def _revision(self, member: InstanceMember) -> int:
--- a/packages/baobabstandins/baobabstandins/scenarios/_expectations.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_expectations.py
@@ -94,7 +94,7 @@
     seen = run.operator.seen
     accepted = run.operator.accepted
     return [
-        *checker.check_accepted_revisions_differ(accepted),
+        *checker.check_one_change_accepted(accepted),
         *checker.check_configuration_never_reverts(seen),
         *checker.check_configuration_in_force(seen, accepted, expectation.grace_s),
     ]
--- a/packages/baobabstandins/baobabstandins/scenarios/_parser.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_parser.py
@@ -107,6 +107,9 @@
     def cold_limit(self, count):
         return "cold_limit", count
 
+    def cold_time(self, duration_s):
+        return "cold_ms", duration_s * MS_PER_S
+
     def cold_at_start(self):
         return "cold_at_start", True
 
