--- a/packages/baobabstandins/baobabstandins/checker/__init__.py
+++ b/packages/baobabstandins/baobabstandins/checker/__init__.py
@@ -9,9 +9,9 @@
     check_share_completed,
 )
 from baobabstandins.checker._configuration import (
-    check_one_change_accepted,
     check_configuration_in_force,
     check_configuration_never_reverts,
+    check_one_change_accepted,
 )
 from baobabstandins.checker._findings import Finding
 from baobabstandins.checker._targets import (
--- a/packages/baobabstandins/baobabstandins/checker/tests/test_configuration.py
+++ b/packages/baobabstandins/baobabstandins/checker/tests/test_configuration.py
@@ -1,9 +1,9 @@
 import pytest
 
 from baobabstandins.checker import (
-    check_one_change_accepted,
     check_configuration_in_force,
     check_configuration_never_reverts,
+    check_one_change_accepted,
 )
 from baobabstandins.fleet import ChangeAccepted, ConfigurationSeen
 
