--- a/packages/baobabring/baobabring/configuration/_fold.py
+++ b/packages/baobabring/baobabring/configuration/_fold.py
@@ -42,9 +42,9 @@
     """Apply records in the order of their offsets.
 
     Two folds that applied the same prefix of the stream hold the same configuration
-    and verdicts. After a gap (records that expired unread) the earlier configuration
-    stands until a snapshot covers the gap; neither offset nor revision ever
-    decreases.
+    and verdicts. After a gap (records that expired unread) the configuration is that
+    of an earlier prefix until a snapshot covers the gap; neither offset nor revision
+    ever decreases.
     """
 
     def __init__(self) -> None:
@@ -163,8 +163,7 @@
         snapshot = decode_record(record.payload)
         if not isinstance(snapshot, SnapshotRecord):
             return Held()
-        covers_gap = self._gap_end <= snapshot.through_offset + 1 <= record.offset
-        if not covers_gap or not self._is_newer(snapshot):
+        if snapshot.through_offset >= record.offset or not self._is_newer(snapshot):
             return Held()
         self._adopt(snapshot)
         self._uncovered.clear()
--- a/packages/baobabring/baobabring/configuration/tests/test_fold.py
+++ b/packages/baobabring/baobabring/configuration/tests/test_fold.py
@@ -17,8 +17,11 @@
     SetTargetState,
     SetZoneState,
     Skipped,
+    SnapshotRecord,
+    decode_record,
     encode_record,
 )
+from baobabring.configuration._fold import MAX_RECENT_VERDICTS
 from baobabring.model import Service, Target, TargetState, ZoneState
 from baobabring.platform import LogRecord, Page
 
@@ -45,9 +48,15 @@
     )
 
 
-def make_page(records: tuple, earliest_offset: int) -> Page:
-    retained = tuple(r for r in records if r.offset >= earliest_offset)
-    return Page(earliest_offset, len(records), retained)
+def make_page(
+    records: tuple, earliest_offset: int, read_offset: int = 0, count: int = 1_000
+) -> Page:
+    start = max(earliest_offset, read_offset)
+    return Page(earliest_offset, len(records), records[start : start + count])
+
+
+def assert_holds_a_prefix(fold: ConfigurationFold, records: tuple) -> None:
+    assert state_of(fold) == state_of(fold_all(records[: fold.next_offset]))
 
 
 def fold_all(records: tuple) -> ConfigurationFold:
@@ -188,6 +197,51 @@
     assert fold.needs_snapshot
 
 
+def test_a_snapshot_that_claims_records_after_itself_is_not_used():
+    ahead = fold_all(make_records([b""] * 9)).snapshot_payload()
+    fold = ConfigurationFold()
+    fold.apply_page(Page(1, 2, (LogRecord(1, 1.0, ahead),)))
+    assert fold.needs_snapshot
+    assert fold.next_offset == 0
+
+
+def test_a_snapshot_that_claims_records_after_itself_is_skipped():
+    ahead = fold_all(make_records([b""] * 9)).snapshot_payload()
+    assert isinstance(ConfigurationFold().apply(LogRecord(0, 1.0, ahead)), Skipped)
+
+
+def test_records_held_in_a_gap_are_dropped_at_the_next_gap():
+    payloads = [b""] * 5
+    payloads.append(fold_all(make_records(payloads)).snapshot_payload())
+    records = make_records(payloads)
+    fold = ConfigurationFold()
+    fold.apply_page(make_page(records, 1, count=2))
+    assert fold.read_offset == 3
+    fold.apply_page(make_page(records, 4))
+    assert not fold.needs_snapshot
+    assert fold.next_offset == 6
+
+
+def test_state_from_a_peer_that_does_not_cover_a_gap_leaves_it_open():
+    payload = make_payload("c1", 0, PutService(make_service()))
+    peer = fold_all(make_records([payload]))
+    fold = ConfigurationFold()
+    fold.apply_page(Page(2, 2, ()))
+    assert fold.load(peer.snapshot_payload())
+    assert fold.configuration.revision == 1
+    assert fold.needs_snapshot
+
+
+def test_old_verdicts_are_forgotten():
+    payloads = [
+        make_payload(f"c{n}", 0, DeleteService("menu"))
+        for n in range(MAX_RECENT_VERDICTS + 1)
+    ]
+    fold = fold_all(make_records(payloads))
+    assert fold.verdict("c0") is None
+    assert fold.verdict("c1") is not None
+
+
 def test_state_from_a_peer_closes_a_gap():
     payload = make_payload("c1", 0, PutService(make_service()))
     peer = fold_all(make_records([payload]))
@@ -213,6 +267,14 @@
     assert fold.snapshot_due(2000.0 + 0.5 * RETENTION_S, RETENTION_S, rng)
 
 
+def test_a_snapshot_does_not_cover_records_that_its_writer_had_not_read():
+    payload = make_payload("c1", 0, PutService(make_service()))
+    fold = fold_all((LogRecord(0, 100.0, payload), LogRecord(1, 200.0, b"")))
+    lagging = fold_all((LogRecord(0, 100.0, payload),)).snapshot_payload()
+    fold.apply(LogRecord(2, 3000.0, lagging))
+    assert fold.snapshot_due(200.0 + 0.5 * RETENTION_S, RETENTION_S, Random(7))
+
+
 def test_instances_draw_different_times_for_their_snapshots():
     payload = make_payload("c1", 0, PutService(make_service()))
     due = []
@@ -266,27 +328,37 @@
     known, earliest = min(known, len(records)), min(earliest, len(records))
     whole = fold_all(records)
     fold = fold_all(records[:known])
-    before = fold.configuration
-    fold.apply_page(make_page(records, earliest))
-    if fold.needs_snapshot:
-        assert fold.configuration == before
-    else:
+    fold.apply_page(make_page(records, earliest, known))
+    covered = earliest <= known or any(
+        isinstance(record, SnapshotRecord) and record.through_offset + 1 >= earliest
+        for record in map(decode_record, (r.payload for r in records[earliest:]))
+    )
+    assert fold.needs_snapshot is not covered
+    if covered:
         assert state_of(fold) == state_of(whole)
         assert fold.snapshot_payload() == whole.snapshot_payload()
 
 
 @PROFILE
-@given(STEPS, st.lists(st.tuples(st.booleans(), st.integers(0, 30)), max_size=12))
-def test_offset_and_revision_never_decrease(steps, events):
+@given(
+    STEPS,
+    st.lists(
+        st.tuples(st.booleans(), st.integers(0, 30), st.integers(0, 5)), max_size=12
+    ),
+)
+def test_the_state_is_always_that_of_a_prefix_that_grows(steps, events):
     records = write_history(steps)
     fold = ConfigurationFold()
+    earliest = 0
     seen = (0, 0)
-    for from_peer, number in events:
+    for from_peer, number, count in events:
         number = min(number, len(records))
         if from_peer:
             fold.load(fold_all(records[:number]).snapshot_payload())
         else:
-            fold.apply_page(make_page(records, number))
+            earliest = max(earliest, number)
+            fold.apply_page(make_page(records, earliest, fold.read_offset, count))
+        assert_holds_a_prefix(fold, records)
         now = (fold.next_offset, fold.configuration.revision)
         assert now[0] >= seen[0]
         assert now[1] >= seen[1]
--- a/packages/baobabring/baobabring/publication/tests/test_reader.py
+++ b/packages/baobabring/baobabring/publication/tests/test_reader.py
@@ -12,7 +12,7 @@
 )
 from baobabring.model import Service
 from baobabring.publication import ConfigurationReader, _reader
-from baobabring.publication.tests.fake_log import FakeEventLog, ManualClock
+from baobabring.publication.tests.fake_log import FakeEventLog, Fault, ManualClock
 
 RETENTION_S = 3_600.0
 LATE_S = RETENTION_S * 0.6
@@ -135,6 +135,18 @@
     assert log.append_count == 1
 
 
+async def test_a_snapshot_that_failed_is_not_written_again_at_once(log):
+    put_service(log, "menu", 0)
+    reader = make_reader(log)
+    await reader.read_once()
+    log.clock.time_s += LATE_S
+    log.faults.append(Fault.LOST_BEFORE)
+    assert await reader.write_snapshot_if_due()
+    assert not await reader.write_snapshot_if_due()
+    log.clock.time_s += _reader.SNAPSHOT_SPREAD_S
+    assert await reader.write_snapshot_if_due()
+
+
 async def test_no_snapshot_is_written_right_after_an_outage(log):
     put_service(log, "menu", 0)
     reader = make_reader(log)
