--- a/packages/baobabring/baobabring/configuration/tests/test_fold.py
+++ b/packages/baobabring/baobabring/configuration/tests/test_fold.py
@@ -22,7 +22,7 @@
     encode_record,
 )
 from baobabring.configuration._fold import MAX_RECENT_VERDICTS
-from baobabring.model import Service, Target, TargetState, ZoneState
+from baobabring.model import Configuration, Service, Target, TargetState, ZoneState
 from baobabring.platform import LogRecord, Page
 
 PROFILE = settings(derandomize=True, max_examples=60, deadline=None)
@@ -232,6 +232,20 @@
     assert fold.needs_snapshot
 
 
+def test_state_from_a_peer_beyond_the_held_records_stays_there():
+    records = make_records([b""] * 5)
+    fold = ConfigurationFold()
+    fold.apply_page(make_page(records, 1, count=2))
+    assert fold.load(fold_all(records).snapshot_payload())
+    assert fold.next_offset == 5
+    assert fold.read_offset == 5
+
+
+def test_state_with_a_revision_beyond_its_records_is_not_loaded():
+    snapshot = SnapshotRecord(9, 3, Configuration(revision=9))
+    assert not ConfigurationFold().load(encode_record(snapshot))
+
+
 def test_old_verdicts_are_forgotten():
     payloads = [
         make_payload(f"c{n}", 0, DeleteService("menu"))
@@ -339,7 +353,7 @@
         assert fold.snapshot_payload() == whole.snapshot_payload()
 
 
-@PROFILE
+@settings(PROFILE, max_examples=200)
 @given(
     STEPS,
     st.lists(
