Claims: check random histories of several coordinators over one log

Three coordinators with differing clocks share a log that refuses, loses answers, lands appends late or twice and expires records; instances pause, crash and read late. A key may have one run that was not released, an ended call may not be dispatched, a replay is the answer of the same request, a tick past the deadline leaves no call open, and after the faults every key is asked for again everywhere.

A settlement that came too early was rejected, but its batch landing a second time after the margin was accepted, though the holder may have run meanwhile. Found by reading, not by the histories. The fold now remembers settlements by their ids.

--- a/packages/baobabring/baobabring/claims/_table.py
+++ b/packages/baobabring/baobabring/claims/_table.py
@@ -52,7 +52,7 @@
     state: KeyState = KeyState.FREE
     holder: Claim | None = None
     answer: KeptAnswer | None = None
-    spent_claim_ids: frozenset[bytes] = frozenset()
+    spent_ids: frozenset[bytes] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,7 +213,7 @@
             entry.holder = claim
             entry.state = KeyState.CLAIMED
             return Verdict.WON
-        entry.spent_claim_ids |= {claim.claim_id}
+        entry.spent_ids |= {claim.claim_id}
         if entry.state is KeyState.FREE:
             return Verdict.TOO_LATE
         if same_request(entry.holder, claim.fingerprint, claim.tenant):
@@ -221,7 +221,7 @@
         return Verdict.KEY_REUSED
 
     def _is_known(self, claim: Claim, entry: KeyEntry) -> bool:
-        if claim.claim_id in entry.spent_claim_ids:
+        if claim.claim_id in entry.spent_ids:
             return True
         return entry.holder is not None and entry.holder.claim_id == claim.claim_id
 
@@ -255,7 +255,7 @@
         if entry is None and created >= self.log_time_s - self.settings.window_s:
             entry = self._add_entry(key_id, created) if self.covers(created) else None
         if entry is not None and self._held_by(release) is None:
-            entry.spent_claim_ids |= {release.claim_id}
+            entry.spent_ids |= {release.claim_id}
 
     def _fold_undetermined(
         self, record: Undetermined, effects: list[FoldEffect]
@@ -272,6 +272,9 @@
         entry = self._held_by(record)
         accepted = entry is not None and self._may_settle(record, entry, appended_at_s)
         effects.append(SettlementFolded(record.settlement_id, accepted))
+        if entry is not None:
+            # A settlement that came too early must not count when it lands again.
+            entry.spent_ids |= {record.settlement_id}
         if not accepted:
             self.ignored_records += 1
         elif record.settlement is Settlement.NOT_RUN:
@@ -284,6 +287,8 @@
     ) -> bool:
         if entry.state not in (KeyState.CLAIMED, KeyState.UNDETERMINED):
             return False
+        if record.settlement_id in entry.spent_ids:
+            return False
         if record.settlement is Settlement.RAN:
             return True
         # Until then the holder may dispatch the request yet.
@@ -293,7 +298,7 @@
     def _free(
         self, record: Release | Settled, entry: KeyEntry, effects: list[FoldEffect]
     ) -> None:
-        entry.spent_claim_ids |= {record.claim_id}
+        entry.spent_ids |= {record.claim_id}
         entry.holder = None
         self._change(record, entry, KeyState.FREE, effects)
 
--- /dev/null
+++ b/packages/baobabring/baobabring/claims/tests/test_histories.py
@@ -0,0 +1,156 @@
+"""Test random histories of several coordinators over one faulty log."""
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from baobabring.claims._records import Settlement
+from baobabring.claims.tests._support import key_at
+from baobabring.claims.tests._world import AppendFate, CallModel, End, World
+
+INSTANCES = st.integers(0, 2)
+FATES = st.sampled_from([AppendFate.CONFIRMED, *AppendFate])
+ENDS = st.sampled_from(End)
+FINGERPRINTS = st.sampled_from([b"f", b"f", b"f", b"g"])
+STEPS_S = st.sampled_from([0.25, 0.5, 1.0, 3.0, 6.0])
+DEADLINES_S = st.sampled_from([1.0, 4.0])
+
+
+class Histories(RuleBasedStateMachine):
+    """Take any steps at any instance, in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.keys = [key_at(self.world.now_s)]
+        self.all_keys = list(self.keys)
+        for instance in self.world.instances:
+            self.world.read_all(instance)
+
+    def instance(self, number):
+        return self.world.instances[number]
+
+    def won_calls(self, instance) -> list[CallModel]:
+        return [call for call in instance.calls.values() if call.won]
+
+    @rule(seconds=STEPS_S)
+    def pass_time(self, seconds):
+        self.world.now_s += seconds
+
+    @rule(ahead_s=st.sampled_from([0.0, 0.9, -5.0]))
+    def new_key(self, ahead_s):
+        created_at_s = self.world.now_s + ahead_s
+        key = key_at(created_at_s, len(self.all_keys))
+        self.keys = [*self.keys[-1:], key]
+        self.all_keys.append(key)
+
+    @rule(number=INSTANCES, fingerprint=FINGERPRINTS, time_left_s=DEADLINES_S)
+    def request(self, number, fingerprint, time_left_s):
+        for key in self.keys:
+            self.world.request(self.instance(number), key, fingerprint, time_left_s)
+
+    @rule(time_left_s=DEADLINES_S)
+    def request_everywhere(self, time_left_s):
+        for instance in self.world.instances:
+            self.world.request(instance, self.keys[-1], b"f", time_left_s)
+
+    @rule(number=INSTANCES, fate=FATES)
+    def append(self, number, fate):
+        self.world.append(self.instance(number), fate)
+
+    @precondition(lambda self: self.world.delayed)
+    @rule(data=st.data())
+    def land(self, data):
+        self.world.land(data.draw(st.integers(0, len(self.world.delayed) - 1)))
+
+    @precondition(lambda self: self.world.stream.records)
+    @rule(data=st.data())
+    def repeat(self, data):
+        last = len(self.world.stream.records) - 1
+        self.world.repeat(data.draw(st.integers(0, last)))
+
+    @precondition(lambda self: len(self.world.stream.records) > 8)
+    @rule(data=st.data())
+    def expire(self, data):
+        last = len(self.world.stream.records)
+        self.world.expire(data.draw(st.integers(0, last)))
+
+    @rule(number=INSTANCES, limit=st.integers(1, 4))
+    def start_read(self, number, limit):
+        self.world.start_read(self.instance(number), limit)
+
+    @rule(number=INSTANCES)
+    def end_read(self, number):
+        self.world.end_read(self.instance(number))
+
+    @rule(number=INSTANCES)
+    def fail_read(self, number):
+        self.world.fail_read(self.instance(number))
+
+    @rule(number=INSTANCES)
+    def read_all(self, number):
+        self.world.read_all(self.instance(number))
+
+    @rule(number=INSTANCES)
+    def append_and_read(self, number):
+        self.world.append(self.instance(number), AppendFate.CONFIRMED)
+        self.world.read_all(self.instance(number))
+
+    @rule(number=INSTANCES)
+    def tick(self, number):
+        self.world.tick(self.instance(number))
+
+    @rule(number=INSTANCES)
+    def dispatch(self, number):
+        self.world.dispatch_all(self.instance(number))
+
+    @rule(number=INSTANCES, time_left_s=DEADLINES_S)
+    def serve(self, number, time_left_s):
+        self.world.serve(self.instance(number), self.keys[0], b"f", time_left_s)
+
+    @rule(number=INSTANCES, end=ENDS)
+    def finish(self, number, end):
+        instance = self.instance(number)
+        for call in self.won_calls(instance):
+            self.world.finish(instance, call, end)
+
+    @rule(number=INSTANCES)
+    def crash(self, number):
+        self.world.crash(self.instance(number))
+
+    @rule(number=INSTANCES, settlement=st.sampled_from(Settlement))
+    def settle(self, number, settlement):
+        for key in self.keys:
+            self.world.settle(self.instance(number), key, settlement)
+
+    @rule(number=INSTANCES)
+    def settle_early(self, number):
+        for key in self.keys:
+            self.world.settle_early(self.instance(number), key)
+
+    @invariant()
+    def no_ended_call_may_run(self):
+        self.world.check()
+
+    def teardown(self):
+        self.world.settle_down(self.all_keys)
+
+
+def test_no_history_runs_a_request_twice():
+    run_state_machine_as_test(
+        Histories,
+        settings=settings(
+            max_examples=150,
+            stateful_step_count=60,
+            derandomize=True,
+            deadline=None,
+            suppress_health_check=list(HealthCheck),
+            database=None,
+        ),
+    )
--- a/packages/baobabring/baobabring/claims/tests/test_table.py
+++ b/packages/baobabring/baobabring/claims/tests/test_table.py
@@ -145,6 +145,13 @@
     assert SettlementFolded(b"s", state is KeyState.FREE) in effects
 
 
+def test_rejected_settlement_stays_rejected_when_it_is_read_again(fold):
+    fold.add(claim_of(KEY, b"1", deadline_s=NOW_S + 10))
+    fold.add(settled(b"1", Settlement.NOT_RUN), at_s=NOW_S + 5)
+    fold.add(settled(b"1", Settlement.NOT_RUN), at_s=NOW_S + 20)
+    assert fold.state() is KeyState.CLAIMED
+
+
 def test_settlement_ran_holds_the_key(fold):
     fold.add(claim_of(KEY, b"1"), settled(b"1", Settlement.RAN))
     fold.add(claim_of(KEY, b"2"))
