--- a/benchmarks/capacity_configuration.py
+++ b/benchmarks/capacity_configuration.py
@@ -1,5 +1,8 @@
 """Measure records and fold of the configuration against its size."""
 
+import random
+
+from baobabring.balancing import BalancingSettings, create_balancer
 from baobabring.configuration import (
     ChangeRecord,
     ConfigurationFold,
@@ -108,7 +111,19 @@
         ),
         memory_slope("fold, each service of 25 targets", SERVICES, make_fold),
     ]
+    slopes.append(
+        time_slope("balancer adopts, each service of 25 targets", SERVICES, adopt)
+    )
     print_slopes("Configuration", slopes)
+    state = SetTargetState("service-001", "target-001-003", TargetState.DRAINING)
+    print(f"record of a target's state: {len(record_of(0, state).payload)} bytes")
+
+
+def adopt(services: int):
+    """Return an action that hands a configuration to the choice of targets."""
+    configuration = make_fold(services).configuration
+    balancer = create_balancer("i-1", "zone-0", BalancingSettings(), random.Random(1))
+    return lambda: balancer.configure(configuration, NOW_S)
 
 
 def load_snapshot(services: int):
--- a/benchmarks/capacity_subsets.py
+++ b/benchmarks/capacity_subsets.py
@@ -4,6 +4,7 @@
 its targets. With a cap, an instance that is full is passed over for the next one.
 """
 
+import math
 import random
 from collections import Counter
 from dataclasses import dataclass
@@ -13,9 +14,10 @@
 
 SERVICES = 200
 TARGETS_PER_SERVICE = 25
-FLEETS = (350, 700, 1400)
+FLEETS = (350, 700, 1400, 1760)
 HOMES = (8, 14, 28)
 SEEDS = (1, 2, 3)
+CAP_FACTOR = 1.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +27,7 @@
     least: int
     most: int
     moved: int
+    short: int
 
 
 def assign_homes(
@@ -47,7 +50,7 @@
     names = [f"instance-{rng.getrandbits(32):08x}" for _ in range(instances)]
     services = [f"service-{rng.getrandbits(32):08x}" for _ in range(SERVICES)]
     mean = SERVICES * homes / instances
-    cap = int(mean * 1.25) + 1 if capped else SERVICES
+    cap = math.ceil(mean * CAP_FACTOR) if capped else SERVICES
     before = assign_homes(services, names, homes, cap)
     replaced = [*names[1:], "instance-new"]
     after = assign_homes(services, replaced, homes, cap)
@@ -55,7 +58,8 @@
     for chosen in before.values():
         held.update(chosen)
     moved = sum(len(before[service] - after[service]) for service in services)
-    return Spread(min(held.values()), max(held.values()), moved)
+    short = sum(len(chosen) < homes for chosen in before.values())
+    return Spread(min(held.values()), max(held.values()), moved, short)
 
 
 def main() -> None:
@@ -76,6 +80,7 @@
                         most,
                         most * TARGETS_PER_SERVICE,
                         max(spread.moved for spread in spreads),
+                        max(spread.short for spread in spreads),
                     )
                 )
     headers = (
@@ -87,6 +92,7 @@
         "most",
         "targets an instance, most",
         "homes moved, one replaced",
+        "services short of homes",
     )
     print(tabulate(rows, headers))
 
