--- a/benchmarks/fleet_tail.py
+++ b/benchmarks/fleet_tail.py
@@ -71,6 +71,7 @@
 WARM_UP_S = 2.0
 WARM_UP_SHARE = 0.5
 SETTLE_S = 1.0
+LIST_EXPIRY_S = 3.0
 PERCENTILES = (50.0, 99.0, 99.9)
 
 
@@ -106,10 +107,11 @@
 
 
 async def stop_instances(fleet: Fleet, members: list[InstanceMember]) -> None:
-    """Let the instances leave."""
+    """Let the instances leave, and the platform's list forget them."""
     for member in members:
         member.in_rotation = False
     await asyncio.gather(*(member.child.stop() for member in members))
+    await asyncio.sleep(LIST_EXPIRY_S + SETTLE_S)
 
 
 async def peer_traffic(members: list[InstanceMember]) -> tuple[float, float]:
@@ -231,7 +233,7 @@
     """Measure all cases in all rounds."""
     rng = random.Random(FLAGS.seed)
     async with Fleet(directory) as fleet:
-        await fleet.start_platform(PlatformOptions())
+        await fleet.start_platform(PlatformOptions(list_expiry_ms=1000 * LIST_EXPIRY_S))
         targets = await start_targets(fleet)
         first = await fleet.start_instance(ZONES[0])
         operator = Operator(fleet.rotation)
--- a/packages/baobabring/baobabring/balancing/_balancer.py
+++ b/packages/baobabring/baobabring/balancing/_balancer.py
@@ -335,5 +335,6 @@
     peers = PeerLoad()
     holder = f"{instance_id}/{rng.getrandbits(64):016x}"
     cold_start = ColdStartGuard(instance_id, holder, settings)
-    sharing = InFlightSharing(instance_id, settings, peers, cold_start)
+    shares_counts = POLICIES.get(settings.policy).uses_peers
+    sharing = InFlightSharing(instance_id, settings, peers, cold_start, shares_counts)
     return Balancer(zone, settings, rng, peers, cold_start, sharing)
--- a/packages/baobabring/baobabring/balancing/_sharing.py
+++ b/packages/baobabring/baobabring/balancing/_sharing.py
@@ -29,6 +29,8 @@
         Where peers' counts go.
     cold_start : ColdStartGuard
         Where notices of targets that turned cold come from and go to.
+    shares_counts : bool
+        Whether to tell counts, which some policies don't use, besides notices.
     """
 
     def __init__(
@@ -37,11 +39,13 @@
         settings: BalancingSettings,
         peers: PeerLoad,
         cold_start: ColdStartGuard,
+        shares_counts: bool = True,
     ) -> None:
         self._instance_id = instance_id
         self._settings = settings
         self._peers = peers
         self._cold_start = cold_start
+        self._shares_counts = shares_counts
         self._sequence = -1
         self._counts: dict[str, int] = {}
         self._sent: dict[str, int] = {}
@@ -71,6 +75,8 @@
 
     def count_changed(self, candidate: Candidate) -> None:
         """Note that own calls in flight to a target changed."""
+        if not self._shares_counts:
+            return
         target_id = candidate.target_id
         in_flight = candidate.own_in_flight
         if in_flight:
--- a/packages/baobabring/baobabring/balancing/tests/test_sharing.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_sharing.py
@@ -128,6 +128,12 @@
     assert all(balancer.sharing.outgoing(float(t)) is None for t in range(10, 20))
 
 
+def test_counts_are_not_told_under_policies_that_ignore_them():
+    balancer = make_warm_balancer(policy="random")
+    balancer.attempt_started("t0", 10.0)
+    assert balancer.sharing.outgoing(10.1) is None
+
+
 def test_lasting_calls_are_confirmed():
     balancer = make_warm_balancer(share_renew_ms=50.0)
     balancer.attempt_started("t0", 10.0)
