--- a/packages/baobabring/baobabring/balancing/_cold_start.py
+++ b/packages/baobabring/baobabring/balancing/_cold_start.py
@@ -92,14 +92,15 @@
 
     def apply_page(self, page: Page, now_s: float) -> None:
         """Fold a page of the stream of leases; records already seen are skipped."""
-        for record in page.records:
-            if record.offset < self.next_offset:
-                continue
+        new = [r for r in page.records if r.offset >= self.next_offset]
+        for record in new:
             self._fold.apply(record)
             self.next_offset = record.offset + 1
             ahead_s = record.appended_at_s - now_s
             self._clock_is_behind = ahead_s > self._settings.clock_skew_s
         self.next_offset = max(self.next_offset, page.earliest_offset)
+        if not new:
+            return
         for target_id, target in self._targets.items():
             self._settle(target, self._fold.state(target_id))
         self.version += 1
--- a/packages/baobabring/baobabring/balancing/tests/test_cold_start.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_cold_start.py
@@ -166,6 +166,19 @@
     assert balancer.choose("menu", 0.3) is None
 
 
+def test_reading_goes_on_after_the_last_record_of_a_page():
+    guard = make_balancer().cold_start
+    record = LogRecord(4, 1.0, encode_records((Lease("t0", "i0/1", 10.0),)))
+    guard.apply_page(Page(0, 9_000, (record,)), 1.0)
+    assert guard.next_offset == 5
+
+
+def test_reading_skips_records_that_have_expired():
+    guard = make_balancer().cold_start
+    guard.apply_page(Page(70, 70, ()), 1.0)
+    assert guard.next_offset == 70
+
+
 def test_log_gives_a_lease_to_another_only_after_expiry_and_skew():
     fold = ColdFold(lease_limit_s=10.0, clock_skew_s=1.0)
     first = encode_records((Lease("t0", "i0/1", 10.0),))
