--- a/packages/baobabring/baobabring/publication/_publisher.py
+++ b/packages/baobabring/baobabring/publication/_publisher.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import uuid
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from baobabring.configuration import (
@@ -43,6 +42,25 @@
 ProposalOutcome = Verdict | Unconfirmed
 
 
+class _Watch:
+    """Catch the verdict on a change as soon as the reader has applied its record.
+
+    The fold forgets old verdicts, so a watch looks after each record.
+    """
+
+    def __init__(self, reader: ConfigurationReader, change_id: str) -> None:
+        self.reader = reader
+        self.change_id = change_id
+        self.verdict: Verdict | None = None
+        self.progress = asyncio.Event()
+
+    def look(self) -> None:
+        """Look for the verdict and wake the publisher."""
+        if self.verdict is None:
+            self.verdict = self.reader.fold.verdict(self.change_id)
+        self.progress.set()
+
+
 class ConfigurationPublisher:
     """Append changes to the log and answer by what the fold made of them.
 
@@ -62,8 +80,8 @@
         self.log = log
         self.reader = reader
         self.clock = clock
-        self._waiters: set[asyncio.Future[None]] = set()
-        reader.add_progress_listener(self._wake_waiters)
+        self._watches: set[_Watch] = set()
+        reader.add_progress_listener(self._look)
 
     async def propose(
         self,
@@ -83,7 +101,12 @@
         if self.reader.fold.needs_snapshot:
             return Unconfirmed(change_id, GAP_REASON)
         record = ChangeRecord(change_id, base_revision, change)
-        return await self._publish(record, deadline_s)
+        watch = _Watch(self.reader, change_id)
+        self._watches.add(watch)
+        try:
+            return await self._publish(record, watch, deadline_s)
+        finally:
+            self._watches.discard(watch)
 
     def _early_verdict(
         self, base_revision: int, change: Change, change_id: str
@@ -101,14 +124,15 @@
         return Rejected(findings=findings) if findings else None
 
     async def _publish(
-        self, record: ChangeRecord, deadline_s: float
+        self, record: ChangeRecord, watch: _Watch, deadline_s: float
     ) -> ProposalOutcome:
         payload = encode_record(record)
         reason = LATE_REASON
         while self.clock.now_s() < deadline_s:
             match await self._append(payload, deadline_s):
                 case Appended():
-                    return await self._read_back(record.change_id, deadline_s)
+                    await self._wait(watch, deadline_s)
+                    return watch.verdict or Unconfirmed(record.change_id, UNREAD_REASON)
                 case AppendRefused(retry_at_s=retry_at_s):
                     if reason != UNANSWERED_REASON:
                         reason = REFUSED_REASON
@@ -117,16 +141,15 @@
                     # The record may be in the log, so it is looked for there before
                     # anything is appended again.
                     reason = UNANSWERED_REASON
-                    await self._reach_end(record.change_id, deadline_s)
-            verdict = self._settled_verdict(record)
+                    await self._wait(watch, deadline_s, self.reader.started_reads)
+            verdict = self._settled_verdict(record, watch)
             if verdict is not None:
                 return verdict
         return Unconfirmed(record.change_id, reason)
 
-    def _settled_verdict(self, record: ChangeRecord) -> Verdict | None:
-        known = self.reader.fold.verdict(record.change_id)
-        if known is not None:
-            return known
+    def _settled_verdict(self, record: ChangeRecord, watch: _Watch) -> Verdict | None:
+        if watch.verdict is not None:
+            return watch.verdict
         revision = self.reader.configuration.revision
         if revision > record.base_revision:
             # Wherever the record may yet appear, the fold will find the conflict.
@@ -140,44 +163,26 @@
         except TimeoutError:
             return AppendUnconfirmed()
 
-    async def _read_back(self, change_id: str, deadline_s: float) -> ProposalOutcome:
-        fold = self.reader.fold
-        await self._wait_for(lambda: fold.verdict(change_id) is not None, deadline_s)
-        verdict = fold.verdict(change_id)
-        return verdict or Unconfirmed(change_id, UNREAD_REASON)
-
-    async def _reach_end(self, change_id: str, deadline_s: float) -> None:
-        reader = self.reader
-        last_read = reader.started_reads
-        await self._wait_for(
-            lambda: (
-                reader.confirmed_read > last_read
-                or reader.fold.verdict(change_id) is not None
-            ),
-            deadline_s,
-        )
-
-    async def _wait_for(self, condition: Callable[[], bool], deadline_s: float) -> None:
-        while not condition():
-            remaining_s = deadline_s - self.clock.now_s()
-            if remaining_s <= 0:
-                return
-            waiter = asyncio.get_running_loop().create_future()
-            self._waiters.add(waiter)
-            try:
-                async with asyncio.timeout(remaining_s):
-                    await waiter
-            except TimeoutError:
-                return
-            finally:
-                self._waiters.discard(waiter)
+    async def _wait(
+        self, watch: _Watch, deadline_s: float, last_read: int | None = None
+    ) -> None:
+        """Wait for the verdict, or for the end as a read after `last_read` saw it."""
+        try:
+            async with asyncio.timeout(deadline_s - self.clock.now_s()):
+                while watch.verdict is None and not self._reached_end(last_read):
+                    watch.progress.clear()
+                    await watch.progress.wait()
+        except TimeoutError:
+            return
+
+    def _reached_end(self, last_read: int | None) -> bool:
+        return last_read is not None and self.reader.confirmed_read > last_read
 
     async def _pause(self, retry_at_s: float, deadline_s: float) -> None:
         now_s = self.clock.now_s()
         until_s = min(max(retry_at_s, now_s + APPEND_RETRY_MIN_S), deadline_s)
         await asyncio.sleep(max(until_s - now_s, 0.0))
 
-    def _wake_waiters(self) -> None:
-        for waiter in self._waiters:
-            if not waiter.done():
-                waiter.set_result(None)
+    def _look(self) -> None:
+        for watch in self._watches:
+            watch.look()
--- a/packages/baobabring/baobabring/publication/_reader.py
+++ b/packages/baobabring/baobabring/publication/_reader.py
@@ -122,15 +122,6 @@
             self._tell_configuration(before)
         return loaded
 
-    def confirm_from_peer(self, next_offset: int, confirmed_at_s: float) -> None:
-        """Note that a peer knew at a point in time that nothing newer was in the log.
-
-        `next_offset` is that of the peer's fold; a peer that knows more than this
-        instance confirms nothing.
-        """
-        if self.fold.next_offset >= next_offset:
-            self._confirm(confirmed_at_s)
-
     async def write_snapshot_if_due(self) -> bool:
         """Append a snapshot if the log needs one; return whether it was tried."""
         now_s = self.clock.now_s()
--- a/packages/baobabring/baobabring/publication/tests/test_publisher.py
+++ b/packages/baobabring/baobabring/publication/tests/test_publisher.py
@@ -6,17 +6,21 @@
 
 from baobabring.configuration import (
     Accepted,
+    ChangeRecord,
     Conflict,
     DeleteService,
     PutService,
     Rejected,
+    encode_record,
 )
+from baobabring.configuration._fold import MAX_RECENT_VERDICTS
 from baobabring.model import Service
 from baobabring.publication import (
     ConfigurationPublisher,
     ConfigurationReader,
     Unconfirmed,
 )
+from baobabring.publication._publisher import GAP_REASON
 from baobabring.publication.tests.fake_log import FakeEventLog, Fault
 from baobabring.utils import Clock
 
@@ -160,3 +164,54 @@
             await asyncio.sleep(0)
         await reader.read_once()
         assert await proposal == Accepted(2)
+
+
+async def test_a_lost_append_conflicts_if_another_change_won_meanwhile():
+    log = FakeEventLog(CLOCK)
+    log.faults.append(Fault.LOST_THEN_LATE)
+    log.readable = False
+    async with publishing(log) as publisher:
+        proposal = asyncio.create_task(publisher.propose(0, CHANGE, deadline_s()))
+        while not log.late:
+            await asyncio.sleep(0)
+        log.put(encode_record(ChangeRecord("other", 0, OTHER_CHANGE)))
+        log.readable = True
+        assert await proposal == Conflict(current_revision=1)
+        assert log.append_count == 1
+
+
+async def test_an_outage_between_append_and_reading_back_is_waited_out():
+    log = FakeEventLog(CLOCK)
+    log.readable = False
+    async with publishing(log) as publisher:
+        proposal = asyncio.create_task(publisher.propose(0, CHANGE, deadline_s()))
+        while not log.records:
+            await asyncio.sleep(0)
+        log.readable = True
+        assert await proposal == Accepted(revision=1)
+
+
+async def test_an_instance_that_misses_records_changes_nothing():
+    log = FakeEventLog(CLOCK)
+    log.put(b"")
+    log.expire(1)
+    async with publishing(log) as publisher:
+        while not publisher.reader.fold.needs_snapshot:
+            await asyncio.sleep(0)
+        outcome = await publisher.propose(0, CHANGE, deadline_s(), "c1")
+    assert outcome == Unconfirmed("c1", GAP_REASON)
+    assert log.append_count == 0
+
+
+async def test_the_verdict_is_found_among_many_later_changes():
+    log = FakeEventLog(CLOCK)
+    log.faults.append(Fault.LOST_AFTER)
+    log.readable = False
+    async with publishing(log) as publisher:
+        proposal = asyncio.create_task(publisher.propose(0, CHANGE, deadline_s()))
+        while not log.records:
+            await asyncio.sleep(0)
+        for number in range(MAX_RECENT_VERDICTS + 1):
+            log.put(encode_record(ChangeRecord(f"later-{number}", 0, OTHER_CHANGE)))
+        log.readable = True
+        assert await proposal == Accepted(revision=1)
--- a/packages/baobabring/baobabring/publication/tests/test_reader.py
+++ b/packages/baobabring/baobabring/publication/tests/test_reader.py
@@ -105,14 +105,6 @@
     assert set(starting.configuration.services) == {"menu", "fees"}
 
 
-async def test_a_peer_that_knows_more_confirms_nothing(log):
-    reader = make_reader(log)
-    reader.confirm_from_peer(next_offset=1, confirmed_at_s=2_000.0)
-    assert reader.confirmed_at_s is None
-    reader.confirm_from_peer(next_offset=0, confirmed_at_s=2_000.0)
-    assert reader.confirmed_at_s == 2_000.0
-
-
 async def test_old_state_of_a_peer_changes_nothing(log):
     put_service(log, "menu", 0)
     peer, reader = make_reader(log), make_reader(log)
