Judge a change once, also if it names a revision that comes later

A change on a revision not reached yet conflicts; when its record came twice, the second one could be accepted after the operator had been told of the conflict. Now a change whose verdict is known is skipped; verdicts are part of the state, so instances agree.

--- a/packages/baobabring/baobabring/configuration/_fold.py
+++ b/packages/baobabring/baobabring/configuration/_fold.py
@@ -205,6 +205,8 @@
                 return Skipped(problem=problem)
             case SnapshotRecord(through_offset=through_offset):
                 return self._note_snapshot(through_offset, record.offset)
+            case ChangeRecord(change_id=change_id) if change_id in self._verdicts:
+                return Skipped(problem=f"change {change_id} was judged before")
             case ChangeRecord() as proposal:
                 verdict = self._judge(proposal, record.offset)
                 self._remember(proposal.change_id, verdict)
@@ -230,9 +232,6 @@
         return Accepted(revision=offset + 1)
 
     def _remember(self, change_id: str, verdict: Verdict) -> None:
-        # A change that was appended twice conflicts with itself the second time.
-        if change_id in self._verdicts and not isinstance(verdict, Accepted):
-            return
         self._verdicts[change_id] = verdict
         while len(self._verdicts) > MAX_RECENT_VERDICTS:
             del self._verdicts[next(iter(self._verdicts))]
--- a/packages/baobabring/baobabring/configuration/tests/test_fold.py
+++ b/packages/baobabring/baobabring/configuration/tests/test_fold.py
@@ -153,6 +153,15 @@
     assert fold.configuration.revision == 1
 
 
+def test_a_change_that_conflicted_is_not_accepted_when_it_comes_again():
+    ahead = make_payload("c1", 2, SetZoneState("sapporo", ZoneState.OUT))
+    put = make_payload("c2", 0, PutService(make_service("menu", make_target())))
+    fold = fold_all(make_records([ahead, put, ahead]))
+    assert fold.configuration.revision == 2
+    assert fold.verdict("c1") == Conflict(0)
+    assert fold.configuration.zones_out == frozenset()
+
+
 def test_a_service_put_without_targets_keeps_the_earlier_ones():
     payloads = [
         make_payload("c1", 0, PutService(make_service("menu", make_target()))),
--- a/packages/baobabring/baobabring/publication/tests/test_histories.py
+++ b/packages/baobabring/baobabring/publication/tests/test_histories.py
@@ -45,6 +45,7 @@
     st.one_of(
         st.tuples(st.just("propose"), NUMBERS, st.sampled_from(CHANGES)),
         st.tuples(st.just("propose"), NUMBERS, st.sampled_from(CHANGES)),
+        st.tuples(st.just("ahead"), NUMBERS, st.integers(1, 3)),
         st.tuples(st.just("read"), NUMBERS, st.none()),
         st.tuples(st.just("fault"), NUMBERS, st.sampled_from(FAULTS)),
         st.tuples(st.just("deliver"), NUMBERS, st.none()),
@@ -111,6 +112,10 @@
             case "propose":
                 revision = instance.reader.configuration.revision
                 self.propose(number, f"c{len(self.proposals)}", revision, detail)
+            case "ahead":
+                revision = instance.reader.configuration.revision + detail
+                change_id = f"c{len(self.proposals)}"
+                self.propose(number, change_id, revision, CHANGES[1])
             case "resend" if detail < len(self.proposals):
                 sent = self.proposals[detail]
                 self.propose(number, sent.change_id, sent.base_revision, sent.change)
