--- a/benchmarks/fleet_tail.py
+++ b/benchmarks/fleet_tail.py
@@ -46,7 +46,8 @@
     "cases",
     "random,round-robin,least-in-flight,two-choices,two-choices-peak,hot-cold,"
     "shared,single",
-    "Policies to compare; `single` is `shared` on one instance.",
+    "Policies to compare, each with settings of [balancing] if need be, as in "
+    "shared:oversubscription=1.5; `single` is `shared` on one instance.",
 )
 flags.DEFINE_list("loads", "50,70,85,95,120", "Loads in percent of capacity.")
 flags.DEFINE_integer("rounds", 3, "How often each case is measured.")
@@ -58,7 +59,6 @@
 flags.DEFINE_integer("deadline_ms", 3_000, "Deadline of each call.")
 flags.DEFINE_float("slow_factor", 10.0, "Factor on service times while slow.")
 flags.DEFINE_float("slow_gap_s", 10.0, "Mean time between slow periods.")
-flags.DEFINE_list("balancing", [], "Further settings of [balancing], as key=value.")
 flags.DEFINE_integer("seed", 1, "Seed of arrivals and slow periods.")
 flags.DEFINE_string("directory", None, "Where settings and logs stay, if given.")
 flags.DEFINE_string("output", "fleet_tail.jsonl", "File for the raw results.")
@@ -96,10 +96,11 @@
 
 async def start_instances(fleet: Fleet, case: str) -> list[InstanceMember]:
     """Start the instances of one case."""
-    section = {"policy": "shared" if case == SINGLE else case}
-    section |= dict(setting.split("=") for setting in FLAGS.balancing)
+    name, *settings = case.split(":")
+    section = {"policy": "shared" if name == SINGLE else name}
+    section |= dict(setting.split("=") for setting in settings)
     fleet.extra_settings = {"balancing": section}
-    count = 1 if case == SINGLE else FLAGS.instances
+    count = 1 if name == SINGLE else FLAGS.instances
     return [
         await fleet.start_instance(ZONES[number % len(ZONES)])
         for number in range(count)
