Let an instance that starts while the log is down learn warmth from its peers

Cause: a target counts as warm only after a record in the stream of cold starts. An instance that can't read the stream, or starts after the records have expired, held every target for cold and refused all calls; in the second case it could also ignore a later record of coldness, which names the record before it. Ruled out: membership and configuration, both of which the instance had from its peers.

--- a/packages/baobabring/baobabring/balancing/_cold_fold.py
+++ b/packages/baobabring/baobabring/balancing/_cold_fold.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -51,8 +50,7 @@
     return _encoder.encode(records)
 
 
-@dataclass(slots=True)
-class ColdState:
+class ColdState(msgspec.Struct):
     """Hold what the log says of one target.
 
     `cold_epoch` is the offset of the newest record of coldness.
@@ -67,6 +65,27 @@
     expires_at_s: float = float("-inf")
 
 
+class ColdSnapshot(msgspec.Struct, frozen=True):
+    """Hold the state of all targets before the record of an offset."""
+
+    next_offset: int
+    lacks_records: bool
+    states: dict[str, ColdState]
+
+
+_snapshot_decoder = msgspec.msgpack.Decoder(ColdSnapshot)
+
+
+def encode_snapshot(snapshot: ColdSnapshot) -> bytes:
+    """Encode a snapshot for a peer."""
+    return _encoder.encode(snapshot)
+
+
+def decode_snapshot(payload: bytes) -> ColdSnapshot:
+    """Decode a peer's snapshot; raises msgspec.MsgspecError for anything else."""
+    return _snapshot_decoder.decode(payload)
+
+
 class ColdFold:
     """Fold records in the log's order, the same way at every instance.
 
@@ -91,6 +110,16 @@
         """Tell whether any record names the target."""
         return target_id in self._states
 
+    def snapshot(self, next_offset: int, lacks_records: bool) -> ColdSnapshot:
+        """Return the state of all targets, as of the offset to read next."""
+        return ColdSnapshot(next_offset, lacks_records, self._states)
+
+    def load(self, snapshot: ColdSnapshot) -> None:
+        """Take over what a peer knows better; the newer record of coldness wins."""
+        for target_id, state in snapshot.states.items():
+            if state.cold_epoch >= self.state(target_id).cold_epoch:
+                self._states[target_id] = state
+
     def apply(self, log_record: LogRecord) -> None:
         """Apply one record of the log; payloads that can't be read have no effect."""
         try:
--- a/packages/baobabring/baobabring/balancing/_cold_start.py
+++ b/packages/baobabring/baobabring/balancing/_cold_start.py
@@ -6,6 +6,7 @@
 from math import log2
 from typing import TYPE_CHECKING
 
+import msgspec
 import xxhash
 
 from baobabring.balancing._cold_fold import (
@@ -16,7 +17,9 @@
     ColdState,
     Lease,
     Warm,
+    decode_snapshot,
     encode_records,
+    encode_snapshot,
 )
 from baobabring.balancing._settings import BalancingSettings
 from baobabring.balancing._updates import ColdNotice
@@ -76,6 +79,7 @@
         self._next_proposal_at_s = 0.0
         self._clock_is_behind = False
         self.next_offset = 0
+        self.lacks_records = False
         self.version = 0
 
     def configure(self, cold_limits: dict[str, int]) -> None:
@@ -92,6 +96,8 @@
 
     def apply_page(self, page: Page, now_s: float) -> None:
         """Fold a page of the stream of leases; records already seen are skipped."""
+        if page.earliest_offset > self.next_offset:
+            self.lacks_records = True
         new = [r for r in page.records if r.offset >= self.next_offset]
         for record in new:
             self._fold.apply(record)
@@ -101,10 +107,39 @@
         self.next_offset = max(self.next_offset, page.earliest_offset)
         if not new:
             return
+        self._settle_all()
+
+    def _settle_all(self) -> None:
         for target_id, target in self._targets.items():
             self._settle(target, self._fold.state(target_id))
         self.version += 1
 
+    def snapshot_payload(self) -> bytes:
+        """Return what the log has shown so far, for a peer."""
+        return encode_snapshot(
+            self._fold.snapshot(self.next_offset, self.lacks_records)
+        )
+
+    def load(self, payload: bytes) -> bool:
+        """Take a peer's snapshot if it goes further; return whether it did.
+
+        Records that expired before this instance began to read are known to peers
+        alone.
+        """
+        try:
+            snapshot = decode_snapshot(payload)
+        except msgspec.MsgspecError:
+            return False
+        if snapshot.next_offset < self.next_offset:
+            return False
+        if snapshot.next_offset == self.next_offset and not self.lacks_records:
+            return False
+        self._fold.load(snapshot)
+        self.next_offset = snapshot.next_offset
+        self.lacks_records = snapshot.lacks_records
+        self._settle_all()
+        return True
+
     def knows(self, target_id: str) -> bool:
         """Tell whether the log names the target."""
         return self._fold.knows(target_id)
--- a/packages/baobabring/baobabring/balancing/tests/test_cold_start.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_cold_start.py
@@ -294,3 +294,40 @@
     records = tuple(LogRecord(i, 0.1, p) for i, p in enumerate(payloads))
     balancer.cold_start.apply_page(Page(0, 3, records[:2]), 0.2)
     assert balancer.cold_start.next_offset == 2
+
+
+def test_instance_that_cannot_read_the_log_learns_warmth_from_a_peer():
+    log = FakeLog()
+    peer = make_cold(log, "i1")
+    peer.report("t0", LoadReport(0, 4, False, False), 0.1)
+    exchange(peer, log, 0.4)
+    fresh = make_cold(FakeLog(), "i2")
+    assert fresh.choose("menu", 0.5) is None
+    assert fresh.cold_start.load(peer.cold_start.snapshot_payload())
+    assert fresh.choose("menu", 0.5) == "t0"
+
+
+def test_instance_that_missed_expired_records_follows_its_peers():
+    log = FakeLog()
+    peer = make_cold(log, "i1")
+    peer.report("t0", LoadReport(0, 4, False, False), 0.1)
+    exchange(peer, log, 0.4)
+    turn_cold(peer, log, 1.0)
+    fresh = make_cold(FakeLog(), "i2")
+    end = len(log.records)
+    fresh.cold_start.apply_page(Page(end, end, ()), 2.0)
+    assert fresh.cold_start.lacks_records
+    assert fresh.cold_start.load(peer.cold_start.snapshot_payload())
+    assert not fresh.cold_start.lacks_records
+    assert fresh.cold_start._fold.state("t0") == peer.cold_start._fold.state("t0")
+
+
+def test_snapshot_of_a_peer_that_is_behind_changes_nothing():
+    log = FakeLog()
+    peer = make_cold(log, "i1")
+    payload = peer.cold_start.snapshot_payload()
+    peer.report("t0", LoadReport(0, 4, False, False), 0.1)
+    exchange(peer, log, 0.4)
+    assert not peer.cold_start.load(payload)
+    assert not peer.cold_start.load(b"garbage")
+    assert peer.choose("menu", 0.5) == "t0"
--- a/packages/baobabring/baobabring/peers/_frames.py
+++ b/packages/baobabring/baobabring/peers/_frames.py
@@ -13,18 +13,18 @@
 
 
 class StateRequest(msgspec.Struct, array_like=True, frozen=True):
-    """Ask a peer for its configuration state, when it is newer than `revision`."""
+    """Ask a peer for what the log has shown it."""
 
     sender: str
     reply_address: str
-    revision: int
 
 
 class StateReply(msgspec.Struct, array_like=True, frozen=True):
-    """Pass a configuration state on as a snapshot payload."""
+    """Pass on what the log has shown, as payloads of snapshots."""
 
     sender: str
-    payload: bytes
+    configuration: bytes
+    cold_starts: bytes
 
 
 PeerMessage = Heartbeat | InFlightUpdate | StateRequest | StateReply | SharedProbe
--- a/packages/baobabring/baobabring/program/_parts.py
+++ b/packages/baobabring/baobabring/program/_parts.py
@@ -27,12 +27,12 @@
 from baobabring.probing import ProbeSettings, create_probe_scheduler
 from baobabring.program._claims_task import ClaimsTask
 from baobabring.program._cold_start_task import ColdStartTask
-from baobabring.program._configuration_task import ConfigurationExchange
 from baobabring.program._dispatcher import Dispatcher
 from baobabring.program._membership_task import MembershipTask
 from baobabring.program._peer_link import PeerLink
 from baobabring.program._probe_task import ProbeTask
 from baobabring.program._sharing_task import SharingTask
+from baobabring.program._state_exchange import StateExchange
 from baobabring.publication import ConfigurationPublisher, ConfigurationReader
 from baobabring.retries import (
     RetrySettings,
@@ -62,7 +62,7 @@
     reader: ConfigurationReader
     publisher: ConfigurationPublisher
     membership: MembershipTask
-    exchange: ConfigurationExchange
+    exchange: StateExchange
     claims_task: ClaimsTask
     cold_start_task: ColdStartTask
     sharing_task: SharingTask
@@ -106,7 +106,7 @@
         reader=reader,
         publisher=ConfigurationPublisher(log, reader, clock),
         membership=membership,
-        exchange=ConfigurationExchange(reader, membership, link, clock),
+        exchange=StateExchange(reader, membership, balancer.cold_start, link, clock),
         claims_task=ClaimsTask(claims, settings.claims.partitions, log, clock),
         cold_start_task=_create_cold_start_task(balancer, log, clock),
         sharing_task=SharingTask(balancer, link, clock),
