--- a/packages/baobabstandins/baobabstandins/scenarios/_runner.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_runner.py
@@ -16,7 +16,7 @@
 from baobabstandins.scenarios._setup import set_up
 
 OBSERVE_S = 0.5
-RUN_TIMEOUT_S = 60.0
+RUN_TIMEOUT_S = 40.0
 END_TIMEOUT_S = 10.0
 
 
