--- a/benchmarks/fleet_load.py
+++ b/benchmarks/fleet_load.py
@@ -59,7 +59,8 @@
 
 async def run_load(load: Load, instances: list[InstanceMember]) -> LoadResult:
     """Send calls at random points in time, whether or not earlier ones ended."""
-    rng = random.Random(load.seed)
+    arrivals = random.Random(f"arrivals {load.seed}")
+    choices = random.Random(f"instances {load.seed}")
     result = LoadResult()
     tasks = []
     connector = aiohttp.TCPConnector(limit=0)
@@ -67,10 +68,10 @@
         at_s = time.time()
         end_s = at_s + load.duration_s
         while True:
-            at_s += rng.expovariate(load.calls_per_s)
+            at_s += arrivals.expovariate(load.calls_per_s)
             if at_s > end_s:
                 break
-            instance = rng.choice(instances)
+            instance = choices.choice(instances)
             await asyncio.sleep(max(0.0, at_s - time.time()))
             call = _call(session, load, instance, at_s, len(tasks), result)
             tasks.append(asyncio.ensure_future(call))
