--- a/packages/baobabring/baobabring/program/_parts.py
+++ b/packages/baobabring/baobabring/program/_parts.py
@@ -149,7 +149,7 @@
     info = InstanceInfo(
         settings.instance.id,
         settings.instance.zone,
-        settings.peers.address,
+        settings.peers.announced_address or settings.peers.address,
         InstanceState.LIVE,
     )
     return MembershipTask(
--- a/packages/baobabring/baobabring/settings/_models.py
+++ b/packages/baobabring/baobabring/settings/_models.py
@@ -49,6 +49,7 @@
     """Set where peers are heard and, with CURVE keys, whom to trust."""
 
     address: Address
+    announced_address: Address | None = None
     heartbeat_interval_ms: Count = 500
     key_file: Path | None = None
 
