Tell a taken address with its place, wait longer for reads of the log

Cause: an address in use ended the program with a traceback, or for callers with the library's own exit. Each is told now as section, key and value, with exit code 3. Reads wait 1 s (configuration, claims) and 2 s (cold starts) instead of 0.5 s.

--- a/packages/baobabring/baobabring/program/_claims_task.py
+++ b/packages/baobabring/baobabring/program/_claims_task.py
@@ -8,7 +8,7 @@
 from baobabring.program._metrics import count_append
 from baobabring.utils import Clock
 
-READ_WAIT_MS = 500
+READ_WAIT_MS = 1_000
 READ_RETRY_S = 0.1
 APPEND_LIMIT_S = 2.0
 STREAM_PREFIX = "claims-"
--- a/packages/baobabring/baobabring/program/_cold_start_task.py
+++ b/packages/baobabring/baobabring/program/_cold_start_task.py
@@ -7,7 +7,7 @@
 from baobabring.program._metrics import count_append
 from baobabring.utils import Clock
 
-READ_WAIT_MS = 500
+READ_WAIT_MS = 2_000
 READ_RETRY_S = 0.2
 PROPOSAL_STEP_S = 0.05
 APPEND_LIMIT_S = 2.0
--- a/packages/baobabring/baobabring/program/_node.py
+++ b/packages/baobabring/baobabring/program/_node.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import signal
+import socket
 from collections.abc import Coroutine
 
 import logbook
 import uvicorn
+import zmq
 
 from baobabring.callers import create_app
 from baobabring.model import Configuration
@@ -26,6 +28,13 @@
 BACKLOG_CONNECTIONS = 2_048
 
 
+class AddressError(Exception):
+    """Tell that an address of the settings can't be listened at."""
+
+    def __init__(self, section: str, address: str, problem: str) -> None:
+        super().__init__(f"[{section}] address = {address!r}: {problem}")
+
+
 class _CallerServer(uvicorn.Server):
     """Server that leaves signals to the node."""
 
@@ -48,13 +57,14 @@
     async def run(self) -> None:
         """Serve until a signal, then leave without cutting anything off."""
         self._connect()
+        listener = _listen(self.settings.callers.address)
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._leaving.set)
         operators = self._create_operators()
         await operators.start()
         tasks = asyncio.ensure_future(self._run_tasks())
-        serving = asyncio.ensure_future(self._server.serve())
+        serving = asyncio.ensure_future(self._server.serve([listener]))
         leaving = asyncio.ensure_future(self._leaving.wait())
         await asyncio.wait(
             (tasks, serving, leaving), return_when=asyncio.FIRST_COMPLETED
@@ -69,7 +79,11 @@
 
     def _connect(self) -> None:
         parts = self.parts
-        parts.link.start()
+        try:
+            parts.link.start()
+        except zmq.ZMQError as error:
+            address = self.settings.peers.address
+            raise AddressError("peers", address, str(error)) from error
         parts.claims_task.start(parts.dispatcher.apply_claim_events)
         parts.dispatcher.set_claims_flush(parts.claims_task.flush)
         parts.reader.add_listener(self._configure)
@@ -93,7 +107,10 @@
             certificates = read_certificates(
                 section.authority_file, section.certificate_file, section.key_file
             )
-        return create_operators_server(control_plane, section.address, certificates)
+        try:
+            return create_operators_server(control_plane, section.address, certificates)
+        except RuntimeError as error:
+            raise AddressError("operators", section.address, str(error)) from error
 
     async def _run_tasks(self) -> None:
         async with asyncio.TaskGroup() as group:
@@ -189,12 +206,9 @@
 
 
 def _create_caller_server(settings: Settings, parts: Parts) -> uvicorn.Server:
-    host, _, port = settings.callers.address.rpartition(":")
     app = create_app(parts.dispatcher, settings.callers.body_limit_bytes)
     config = uvicorn.Config(
         app,
-        host=host,
-        port=int(port),
         http="httptools",
         ws="none",
         proxy_headers=False,
@@ -204,11 +218,18 @@
         access_log=False,
         server_header=False,
         date_header=False,
-        backlog=BACKLOG_CONNECTIONS,
     )
     return _CallerServer(config)
 
 
+def _listen(address: str) -> socket.socket:
+    host, _, port = address.rpartition(":")
+    try:
+        return socket.create_server((host, int(port)), backlog=BACKLOG_CONNECTIONS)
+    except OSError as error:
+        raise AddressError("callers", address, str(error)) from error
+
+
 async def run_node(settings: Settings) -> None:
     """Run an instance with these settings until it has left."""
     await Node(settings, create_parts(settings)).run()
--- a/packages/baobabring/baobabring/program/main.py
+++ b/packages/baobabring/baobabring/program/main.py
@@ -7,12 +7,13 @@
 from absl import app, flags
 
 from baobabring.program._logs import create_log_handler
-from baobabring.program._node import run_node
+from baobabring.program._node import AddressError, run_node
 from baobabring.program._plugins import find_unknown_plugins
 from baobabring.settings import InvalidSettings, Settings, read_settings
 
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 2
+EXIT_ADDRESS = 3
 
 SETTINGS = flags.DEFINE_string("settings", None, "Path of the INI settings file.")
 CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit.")
@@ -42,7 +43,11 @@
         return EXIT_OK
     handler = create_log_handler(settings.logging.format, settings.logging.level)
     with handler.applicationbound():
-        uvloop.run(run_node(settings))
+        try:
+            uvloop.run(run_node(settings))
+        except AddressError as error:
+            print(f"{name}: {error}", file=sys.stderr)
+            return EXIT_ADDRESS
     return EXIT_OK
 
 
--- a/packages/baobabring/baobabring/publication/_reader.py
+++ b/packages/baobabring/baobabring/publication/_reader.py
@@ -12,7 +12,7 @@
 from baobabring.utils import Clock
 
 CONFIGURATION_STREAM = "config"
-READ_WAIT_MS = 500
+READ_WAIT_MS = 1_000
 READ_TIMEOUT_S = 3.0
 READ_RETRY_S = 0.2
 READ_RETRY_MAX_S = 1.0
