--- a/packages/baobabstandins/baobabstandins/scenarios/_runner.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_runner.py
@@ -51,7 +51,7 @@
         findings.append(Finding("run ends", run.scenario.name, problem))
     run.records = [await _record(run, m) for m in run.fleet.targets.values()]
     run.ended_at_s = time.time()
-    return findings + _find_ended_instances(run)
+    return findings + _find_ended_instances(run) + _find_logged_errors(run)
 
 
 async def _disturb(run: Run) -> None:
@@ -80,6 +80,15 @@
     ]
 
 
+def _find_logged_errors(run: Run) -> list[Finding]:
+    """Find instances that logged an error which nothing handled."""
+    return [
+        Finding("no unhandled errors", member.instance_id, str(member.child.log_path))
+        for member in run.fleet.instances
+        if "Traceback" in member.child.log_text()
+    ]
+
+
 async def _send_load(load: model.Load, run: Run) -> None:
     """Send calls at an even rate, whether or not earlier ones have ended."""
     loop = asyncio.get_running_loop()
