--- a/packages/baobabstandins/baobabstandins/fleet/_fleet.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_fleet.py
@@ -193,6 +193,7 @@
             "baobabring.program", ["--settings", str(path)], instance_id
         )
         member = InstanceMember(instance_id, zone, caller, peer, operator, child)
+        member.started_at_s = time.time()
         self.instances.append(member)
         return member
 
--- a/packages/baobabstandins/baobabstandins/fleet/_members.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_members.py
@@ -41,6 +41,7 @@
     in_rotation: bool = False
     disturbed: bool = False
     killed: bool = False
+    started_at_s: float = 0.0
     ready_at_s: float = 0.0
 
 
--- a/packages/baobabstandins/baobabstandins/scenarios/_expectations.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_expectations.py
@@ -100,6 +100,16 @@
     ]
 
 
+@check.register
+def _(expectation: model.ReadyWithin, run: Run) -> list[Finding]:
+    member = run.instance(expectation.number)
+    took_s = member.ready_at_s - member.started_at_s
+    if 0 < took_s <= expectation.limit_s:
+        return []
+    problem = f"ready after {took_s:.1f} s; the limit is {expectation.limit_s} s"
+    return [Finding("ready within", member.instance_id, problem)]
+
+
 @check.register
 def _(expectation: model.InstancesEndWell, run: Run) -> list[Finding]:
     codes = {m.instance_id: m.child.process.returncode for m in run.terminated}
--- a/packages/baobabstandins/baobabstandins/scenarios/_model.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_model.py
@@ -302,6 +302,14 @@
     grace_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReadyWithin:
+    """Expect that an instance is ready a while after its start."""
+
+    number: int
+    limit_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class InstancesEndWell:
     """Expect that terminated instances end without an error."""
@@ -335,5 +343,6 @@
     ColdLimitKept,
     ProbeBudget,
     ConfigurationInForce,
+    ReadyWithin,
     InstancesEndWell,
 )
--- a/packages/baobabstandins/baobabstandins/scenarios/_parser.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_parser.py
@@ -167,6 +167,7 @@
     cold_limit_kept = model.ColdLimitKept
     probe_budget = model.ProbeBudget
     configuration_in_force = model.ConfigurationInForce
+    ready_within = model.ReadyWithin
     instances_end_well = model.InstancesEndWell
 
 
