--- a/packages/baobabstandins/baobabstandins/fleet/_caller.py
+++ b/packages/baobabstandins/baobabstandins/fleet/_caller.py
@@ -22,7 +22,7 @@
 from baobabstandins.target import check_answer
 
 ANSWER_SLACK_S = 2.0
-REPEAT_WAIT_LIMIT_S = 0.5
+REPEAT_WAIT_S = 0.5
 LEAVE_AFTER_S = 0.03
 ROTATION_POLL_S = 0.05
 
@@ -102,8 +102,8 @@
             self.history.append(event)
             if _is_completed(event):
                 return
-            if isinstance(event, Returned):
-                await asyncio.sleep(REPEAT_WAIT_LIMIT_S)
+            if not isinstance(event, Left):
+                await asyncio.sleep(REPEAT_WAIT_S)
 
     async def call_twice_at_once(self, call: Call, repeats: int) -> None:
         """Send a call through two instances at the same time."""
@@ -116,7 +116,7 @@
         for attempt in range(2, repeats + 1):
             if any(_is_completed(event) for event in events):
                 return
-            await asyncio.sleep(REPEAT_WAIT_LIMIT_S)
+            await asyncio.sleep(REPEAT_WAIT_S)
             instance = await self._pick(set())
             events = [await self._try(call, attempt, instance, False)]
             self.history.extend(events)
