Count instances that vanish from the list as listed for a while

Cause: the share in reach was taken over the list as it stands, so a platform that came back with an empty list while its log was down made an instance without any peers see a share of 1 and go on as degraded. Before: share 1.0 right after an emptied list; now 1/3 with two peers that never said they leave, and 1.0 only after 30 s. A call that is put back no longer adds another entry to the deadlines.

--- a/packages/baobabring/baobabring/admission/_base.py
+++ b/packages/baobabring/baobabring/admission/_base.py
@@ -106,6 +106,7 @@
         )
         self._calls: dict[str, Waiting] = {}
         self._deadlines: dict[str, list[tuple[float, str]]] = {}
+        self._timed: set[str] = set()
         self._given_up: list[str] = []
 
     @abstractmethod
@@ -185,6 +186,7 @@
             latest_s = now_s + self.estimates.service_s(service_id, now_s)
             while deadlines and deadlines[0][0] < latest_s:
                 _, call_id = heapq.heappop(deadlines)
+                self._timed.discard(call_id)
                 if self.remove(call_id):
                     expired.append(call_id)
             if not deadlines:
@@ -213,6 +215,10 @@
 
     def _remember(self, waiting: Waiting) -> None:
         self._calls[waiting.call_id] = waiting
+        # A call that was put back has its deadline in the heap already.
+        if waiting.call_id in self._timed:
+            return
+        self._timed.add(waiting.call_id)
         deadlines = self._deadlines.setdefault(waiting.service_id, [])
         heapq.heappush(deadlines, (waiting.deadline_s, waiting.call_id))
 
--- a/packages/baobabring/baobabring/admission/tests/test_fair.py
+++ b/packages/baobabring/baobabring/admission/tests/test_fair.py
@@ -63,6 +63,17 @@
     assert take_all(queue) == ["a0", "b0", "a1"]
 
 
+def test_call_put_back_expires_once():
+    queue = make_queue()
+    call = make_call("a0", time_left_s=1.0)
+    queue.offer(call, NOW_S)
+    for _ in range(3):
+        queue.take("menu", NOW_S)
+        queue.put_back(call)
+    assert queue.expire(NOW_S + 2) == ["a0"]
+    assert queue.expire(NOW_S + 2) == []
+
+
 def test_full_tenant_is_refused_and_others_are_not():
     queue = make_queue(tenant_limit=2)
     offer_many(queue, "a", 2)
--- a/packages/baobabring/baobabring/membership/_membership.py
+++ b/packages/baobabring/baobabring/membership/_membership.py
@@ -75,10 +75,20 @@
     """Hold what the list and the instance itself said."""
 
     known_since_s: float
-    listed: InstanceInfo | None = None
+    info: InstanceInfo | None = None
+    is_listed: bool = False
+    unlisted_at_s: float | None = None
     heartbeat: Heartbeat | None = None
     heard_at_s: float | None = None
 
+    @property
+    def said_leaving(self) -> bool:
+        """Tell whether the list or the instance said last that it leaves."""
+        if self.info is not None and self.info.state is InstanceState.LEAVING:
+            return True
+        heartbeat = self.heartbeat
+        return heartbeat is not None and heartbeat.state is InstanceState.LEAVING
+
     @property
     def last_sign_s(self) -> float:
         """Return the time of the last heartbeat, or of the first listing."""
@@ -110,10 +120,13 @@
         self._listed_count = len(listed)
         listed.pop(self.instance_id, None)
         for instance_id, entry in self._entries.items():
-            entry.listed = listed.get(instance_id)
+            if entry.is_listed and instance_id not in listed:
+                entry.is_listed = False
+                entry.unlisted_at_s = now_s
         for instance_id, info in listed.items():
-            if instance_id not in self._entries:
-                self._entries[instance_id] = _Entry(now_s, listed=info)
+            entry = self._entries.setdefault(instance_id, _Entry(now_s))
+            entry.info = info
+            entry.is_listed = True
         self._forget(now_s)
 
     def heard(self, heartbeat: Heartbeat, now_s: float) -> bool:
@@ -163,11 +176,15 @@
     def reachable_share(self, now_s: float) -> float:
         """Return the share of listed instances heard lately, itself included.
 
-        Without a list there is no share to speak of, and the answer is 0.
+        Instances that vanished from the list without leaving count for a while, so
+        that a list that lost its entries doesn't look like a small fleet in full
+        reach. Without a list there is no share to speak of, and the answer is 0.
         """
         if not self._list_read:
             return 0.0
-        listed = [entry for entry in self._entries.values() if entry.listed]
+        listed = [
+            entry for entry in self._entries.values() if self._is_counted(entry, now_s)
+        ]
         heard = sum(self._is_heard(entry, now_s) for entry in listed)
         return (heard + 1) / (len(listed) + 1)
 
@@ -179,11 +196,11 @@
         return [
             (instance_id, entry)
             for instance_id, entry in self._entries.items()
-            if entry.listed or not self._is_forgotten(entry, now_s)
+            if self._is_counted(entry, now_s) or not self._is_forgotten(entry, now_s)
         ]
 
     def _member(self, instance_id: str, entry: _Entry, now_s: float) -> Member:
-        source = entry.heartbeat or entry.listed
+        source = entry.heartbeat or entry.info
         return Member(
             instance_id,
             source.zone,
@@ -196,12 +213,14 @@
     def _state(self, entry: _Entry, now_s: float) -> MemberState:
         if now_s - entry.last_sign_s > self.settings.silent_after_s:
             return MemberState.SILENT
-        listed, heartbeat = entry.listed, entry.heartbeat
-        if listed is not None and listed.state is InstanceState.LEAVING:
-            return MemberState.LEAVING
-        if heartbeat is not None and heartbeat.state is InstanceState.LEAVING:
-            return MemberState.LEAVING
-        return MemberState.LIVE
+        return MemberState.LEAVING if entry.said_leaving else MemberState.LIVE
+
+    def _is_counted(self, entry: _Entry, now_s: float) -> bool:
+        if entry.is_listed:
+            return True
+        if entry.unlisted_at_s is None or entry.said_leaving:
+            return False
+        return now_s - entry.unlisted_at_s <= self.settings.forget_after_s
 
     def _is_heard(self, entry: _Entry, now_s: float) -> bool:
         if entry.heard_at_s is None:
--- a/packages/baobabring/baobabring/membership/tests/test_membership.py
+++ b/packages/baobabring/baobabring/membership/tests/test_membership.py
@@ -65,9 +65,24 @@
 def test_unlisted_silent_instance_is_forgotten():
     view = make_view("a")
     view.apply_list((), 1.0)
+    assert state_of(view, "a", 30.0) is MemberState.SILENT
     assert view.members(40.0) == []
 
 
+def test_emptied_list_does_not_look_like_a_small_fleet():
+    view = make_view("me", "a", "b")
+    view.apply_list((), 10.0)
+    assert view.reachable_share(10.0) == pytest.approx(1 / 3)
+    assert view.reachable_share(41.0) == 1.0
+
+
+def test_instance_that_left_does_not_count_as_out_of_reach():
+    view = make_view("me", "a")
+    view.heard(make_heartbeat("a", state=InstanceState.LEAVING), 1.0)
+    view.apply_list((make_info("me"),), 2.0)
+    assert view.reachable_share(9.0) == 1.0
+
+
 def test_leaving_by_heartbeat_or_list():
     view = make_view("a", "b")
     view.heard(make_heartbeat("a", state=InstanceState.LEAVING), 1.0)
