--- a/packages/baobabring/baobabring/balancing/_candidate.py
+++ b/packages/baobabring/baobabring/balancing/_candidate.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 UNKNOWN_LATENCY_MS = 0.0
+PEAK_DECAY_S = 10.0
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/baobabring/baobabring/balancing/_service.py
+++ b/packages/baobabring/baobabring/balancing/_service.py
@@ -1,8 +1,9 @@
 """State of one service for the choice of targets."""
 
 from dataclasses import dataclass, field
+from math import exp
 
-from baobabring.balancing._candidate import Candidate
+from baobabring.balancing._candidate import PEAK_DECAY_S, Candidate
 from baobabring.balancing._ejection import OutlierEjection
 from baobabring.balancing._peers import AgeScale
 from baobabring.balancing._policy import TargetPolicy
@@ -10,7 +11,6 @@
 
 LATENCY_GAIN = 0.1
 SERVICE_LATENCY_GAIN = 0.01
-PEAK_DECAY_S = 1.0
 FAILURE_COST_CALLS = 1.0
 FAILURE_COST_LIMIT_CALLS = 8.0
 PROBATION_ANSWERS = 3
@@ -56,9 +56,9 @@
         if latency_ms > candidate.peak_latency_ms:
             candidate.peak_latency_ms = latency_ms
         else:
-            share = min(1.0, elapsed_s / PEAK_DECAY_S)
+            kept = exp(-elapsed_s / PEAK_DECAY_S)
             fall_ms = candidate.peak_latency_ms - latency_ms
-            candidate.peak_latency_ms -= share * fall_ms
+            candidate.peak_latency_ms -= (1.0 - kept) * fall_ms
         candidate.latency_ratio = candidate.latency_ms / self.service.mean_latency_ms
         candidate.latency_at_s = now_s
 
--- a/packages/baobabring/baobabring/balancing/_two_choices.py
+++ b/packages/baobabring/baobabring/balancing/_two_choices.py
@@ -1,9 +1,10 @@
 """Choice of the better of two random targets."""
 
 from collections.abc import Sequence
+from math import exp
 from random import Random
 
-from baobabring.balancing._candidate import Candidate
+from baobabring.balancing._candidate import PEAK_DECAY_S, Candidate
 from baobabring.balancing._policy import POLICIES, TargetPolicy, pick
 
 
@@ -32,10 +33,13 @@
         """Return the better of two candidates by latency times load."""
         first = pick(candidates, rng)
         second = pick(candidates, rng)
-        if _peak_cost(second) < _peak_cost(first):
+        if _peak_cost(second, now_s) < _peak_cost(first, now_s):
             return second
         return first
 
 
-def _peak_cost(candidate: Candidate) -> float:
-    return candidate.peak_latency_ms * (candidate.own_in_flight + 1)
+def _peak_cost(candidate: Candidate, now_s: float) -> float:
+    # Without decay a target that was slow once would never be tried again.
+    age_s = max(0.0, now_s - candidate.latency_at_s)
+    latency_ms = candidate.peak_latency_ms * exp(-age_s / PEAK_DECAY_S)
+    return latency_ms * (candidate.own_in_flight + 1)
--- a/packages/baobabring/baobabring/balancing/tests/test_policies.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_policies.py
@@ -43,6 +43,15 @@
     assert chosen.count(fast) > 250
 
 
+def test_peak_policy_tries_a_target_again_that_was_slow_long_ago():
+    slow = Candidate("t0", 2, peak_latency_ms=200.0, latency_at_s=0.0)
+    fast = Candidate("t1", 2, peak_latency_ms=20.0, latency_at_s=60.0)
+    policy = POLICIES.get("two-choices-peak")()
+    rng = Random(1)
+    chosen = [policy.choose([slow, fast], 60.0, rng) for _ in range(400)]
+    assert chosen.count(slow) > 100
+
+
 def test_hot_cold_takes_the_fast_one_unless_it_is_hot():
     hot = [Candidate(f"h{i}", 2, own_in_flight=9, latency_ms=1.0) for i in range(2)]
     cold = [Candidate(f"c{i}", 2, latency_ms=10.0 + i) for i in range(10)]
