--- a/packages/baobabring/baobabring/balancing/_balancer.py
+++ b/packages/baobabring/baobabring/balancing/_balancer.py
@@ -123,7 +123,7 @@
         factor = service.scale.factor(now_s) if self._uses_peers else 0.0
         for candidate in self._scanned(service.warm):
             in_flight = candidate.own_in_flight + candidate.peers_scaled * factor
-            if in_flight <= candidate.room_limit:
+            if in_flight <= candidate.wait_limit:
                 return True
         return bool(service.cold and self._cold_room(service, now_s))
 
@@ -199,20 +199,26 @@
     def _room(
         self, service_id: str, now_s: float, exclude: frozenset[str]
     ) -> list[Candidate]:
+        """Return targets with a free slot, else those at which a call may wait."""
         service = self._service(service_id, now_s)
         if service is None:
             return []
         factor = service.scale.factor(now_s) if self._uses_peers else 0.0
         room = []
+        wait = []
         for candidate in self._scanned(service.warm):
+            if candidate.target_id in exclude:
+                continue
             candidate.peers_in_flight = peers = candidate.peers_scaled * factor
-            if candidate.own_in_flight + peers <= candidate.room_limit:
+            in_flight = candidate.own_in_flight + peers
+            if in_flight <= candidate.room_limit:
                 room.append(candidate)
+            elif in_flight <= candidate.wait_limit:
+                wait.append(candidate)
         if service.cold:
-            room += self._cold_room(service, now_s)
-        if exclude:
-            room = [c for c in room if c.target_id not in exclude]
-        return room
+            cold = self._cold_room(service, now_s)
+            room += [c for c in cold if c.target_id not in exclude]
+        return room or wait
 
     def _scanned(self, candidates: list[Candidate]) -> list[Candidate]:
         """Return the candidates, or a random run of them if they are many."""
@@ -270,7 +276,7 @@
             earlier = previous.get(target.target_id)
             entry = create_entry(target, state, earlier)
             entry.candidate.local_zone = target.zone == self._zone
-            entry.set_room_limit(self._settings.oversubscription)
+            entry.set_limits(self._settings.oversubscription)
             entry.in_use = (
                 target.state is TargetState.ACTIVE
                 and configuration.zone_state(target.zone) is ZoneState.IN
@@ -313,7 +319,7 @@
     def _take_back(self, entry: TargetEntry, now_s: float) -> None:
         """Let an ejected target come back with a small load."""
         entry.probation_left = PROBATION_ANSWERS
-        entry.set_room_limit(self._settings.oversubscription)
+        entry.set_limits(self._settings.oversubscription)
         # A target that nobody reached may have started again; one that peers use
         # has not.
         target_id = entry.target.target_id
--- a/packages/baobabring/baobabring/balancing/_candidate.py
+++ b/packages/baobabring/baobabring/balancing/_candidate.py
@@ -16,7 +16,9 @@
     Parameters
     ----------
     room_limit : float
-        A call may start while own and peers' calls are fewer than this.
+        A slot is free while own and peers' calls are at most this many.
+    wait_limit : float
+        A call may wait at the target while they are at most this many.
     peers_in_flight : float
         Calls of all other instances, each weighted by the age of the information;
         brought up to date by the balancer before each choice.
@@ -38,6 +40,7 @@
     slots: int
     local_zone: bool = False
     room_limit: float = 0.0
+    wait_limit: float = 0.0
     own_in_flight: int = 0
     peers_in_flight: float = 0.0
     peers_scaled: float = 0.0
--- a/packages/baobabring/baobabring/balancing/_observer.py
+++ b/packages/baobabring/baobabring/balancing/_observer.py
@@ -77,7 +77,7 @@
         ratio = entry.candidate.latency_ratio
         if entry.probation_left:
             entry.probation_left -= 1
-            entry.set_room_limit(self._settings.oversubscription)
+            entry.set_limits(self._settings.oversubscription)
         return service.ejection.succeeded(target_id, ratio, now_s)
 
     def _add_failure(self, entry: TargetEntry, unreachable: bool, now_s: float) -> bool:
--- a/packages/baobabring/baobabring/balancing/_service.py
+++ b/packages/baobabring/baobabring/balancing/_service.py
@@ -35,14 +35,16 @@
     probation_left: int = 0
     bounds_s: list[float] = field(default_factory=list)
 
-    def set_room_limit(self, oversubscription: float) -> None:
-        """Derive the room limit from slots and probation."""
+    def set_limits(self, oversubscription: float) -> None:
+        """Derive the limits on calls from slots and probation."""
+        candidate = self.candidate
         if self.probation_left:
-            self.candidate.room_limit = PROBATION_LIMIT
+            candidate.room_limit = candidate.wait_limit = PROBATION_LIMIT
             return
-        slots = self.target.slots * oversubscription
         # A peer's call counts as one until its weight falls below a half.
-        self.candidate.room_limit = slots - HALF_CALL
+        slots = self.target.slots * min(1.0, oversubscription)
+        candidate.room_limit = slots - HALF_CALL
+        candidate.wait_limit = self.target.slots * oversubscription - HALF_CALL
 
     def observe_latency(self, latency_ms: float, now_s: float) -> None:
         """Take the time to the first byte of an answer into the averages."""
--- a/packages/baobabring/baobabring/balancing/_settings.py
+++ b/packages/baobabring/baobabring/balancing/_settings.py
@@ -10,7 +10,8 @@
     Parameters
     ----------
     oversubscription : float
-        Factor on a target's slots up to which calls are sent.
+        Factor on a target's slots up to which calls are sent while no target of
+        the service has a slot free; the calls beyond the slots wait at the target.
     decay_service_times : float
         Time constant, in mean service times, by which peers' counts lose weight.
     share_bytes_per_s : float
--- a/packages/baobabring/baobabring/balancing/tests/test_balancer.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_balancer.py
@@ -56,6 +56,13 @@
     assert balancer.choose("menu", 1.0) is None
 
 
+def test_calls_wait_at_a_target_only_while_no_slot_is_free():
+    balancer = make_warm_balancer(count=2, oversubscription=1.5)
+    for _ in range(2):
+        balancer.attempt_started("t0", 1.0)
+    assert chosen_targets(balancer, 1.0) == {"t1"}
+
+
 def test_policies_without_peers_see_own_calls_only():
     balancer = make_warm_balancer(count=1, policy="two-choices")
     balancer.sharing.apply(update({"t0": 2}, 1, 1.0), 1.0)
