Set aside targets that say they are draining

Operators may not know yet that a target leaves; it got new calls and shed them. The report may mislead, so it counts within the share that may be ejected.

--- a/packages/baobabring/baobabring/balancing/_balancer.py
+++ b/packages/baobabring/baobabring/balancing/_balancer.py
@@ -192,9 +192,9 @@
         entry = self._entries.get(target_id)
         if entry is None:
             return
-        entry.candidate.probe_in_flight = report.in_flight
-        entry.candidate.probe_at_s = now_s
         self.cold_start.report(target_id, report, now_s)
+        if self._observer.take_report(entry, report, now_s):
+            self._sort_targets(entry.service, now_s)
 
     def _room(
         self, service_id: str, now_s: float, exclude: frozenset[str]
--- a/packages/baobabring/baobabring/balancing/_ejection.py
+++ b/packages/baobabring/baobabring/balancing/_ejection.py
@@ -62,6 +62,17 @@
             return False
         return self._add_failure(record, unreachable, now_s)
 
+    def set_aside(self, target_id: str, now_s: float) -> bool:
+        """Eject a target that says it is draining; return whether that changed."""
+        record = self._records.get(target_id)
+        if record is None or record.ejected_until_s > now_s:
+            return False
+        if not self._may_eject_one_more(now_s):
+            return False
+        record.unreachable = False
+        record.ejected_until_s = now_s + self._settings.ejection_base_s
+        return True
+
     def is_ejected(self, target_id: str, now_s: float) -> bool:
         """Tell whether the target takes no new calls."""
         record = self._records.get(target_id)
@@ -85,10 +96,9 @@
             return False
         if record.failures < self._settings.ejection_failures:
             return False
-        count = len(self._records)
-        if self._suspects(now_s) > OBSERVER_SUSPECT_SHARE * count:
+        if self._suspects(now_s) > OBSERVER_SUSPECT_SHARE * len(self._records):
             return self._take_all_back()
-        if self._ejected(now_s) + 1 > self._settings.ejection_share * count:
+        if not self._may_eject_one_more(now_s):
             return False
         self._eject(record, now_s)
         return True
@@ -107,8 +117,9 @@
             for record in self._records.values()
         )
 
-    def _ejected(self, now_s: float) -> int:
-        return sum(r.ejected_until_s > now_s for r in self._records.values())
+    def _may_eject_one_more(self, now_s: float) -> bool:
+        ejected = sum(r.ejected_until_s > now_s for r in self._records.values())
+        return ejected + 1 <= self._settings.ejection_share * len(self._records)
 
     def _take_all_back(self) -> bool:
         changed = False
--- a/packages/baobabring/baobabring/balancing/_observer.py
+++ b/packages/baobabring/baobabring/balancing/_observer.py
@@ -34,14 +34,27 @@
         self, entry: TargetEntry, outcome: AttemptOutcome, now_s: float
     ) -> bool:
         """Take in an outcome; return whether the set of ejected targets changed."""
+        report = None if isinstance(outcome, Lost) else outcome.report
+        set_aside = report is not None and self.take_report(entry, report, now_s)
+        return self._learn(entry, outcome, now_s) or set_aside
+
+    def take_report(self, entry: TargetEntry, report: LoadReport, now_s: float) -> bool:
+        """Take in a load report; return whether the set of ejected targets changed."""
+        entry.candidate.probe_in_flight = report.in_flight
+        entry.candidate.probe_at_s = now_s
+        if not report.draining:
+            return False
+        return entry.service.ejection.set_aside(entry.target.target_id, now_s)
+
+    def _learn(self, entry: TargetEntry, outcome: AttemptOutcome, now_s: float) -> bool:
         match outcome:
             case Answered(answer, report, first_byte_ms):
-                self._take_report(entry, report, now_s)
+                self._note_cold(entry, report, now_s)
                 if answer.status >= SERVER_ERROR:
                     return self._add_failure(entry, False, now_s)
                 return self._add_success(entry, report, first_byte_ms, now_s)
             case Shed(report, reached_target):
-                self._take_report(entry, report, now_s)
+                self._note_cold(entry, report, now_s)
                 if reached_target:
                     entry.add_failure_cost(now_s, FAILURE_DECAY_S)
                 else:
@@ -51,14 +64,10 @@
                 return self._add_failure(entry, unreachable, now_s)
         return False
 
-    def _take_report(
+    def _note_cold(
         self, entry: TargetEntry, report: LoadReport | None, now_s: float
     ) -> None:
-        if report is None:
-            return
-        entry.candidate.probe_in_flight = report.in_flight
-        entry.candidate.probe_at_s = now_s
-        if report.cold:
+        if report is not None and report.cold:
             self._cold_start.answered(entry.target.target_id, report, now_s)
 
     def _add_success(
--- a/packages/baobabring/baobabring/balancing/tests/test_balancer.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_balancer.py
@@ -10,7 +10,7 @@
     make_target,
     make_warm_balancer,
 )
-from baobabring.model import Lost, Reason, Shed, TargetState
+from baobabring.model import LoadReport, Lost, Reason, Shed, TargetState
 
 
 def chosen_targets(balancer, now_s: float) -> set[str | None]:
@@ -128,6 +128,13 @@
     assert balancer.cold_start.due_proposal(3.0) is not None
 
 
+def test_target_that_says_it_drains_is_set_aside_for_a_while():
+    balancer = make_warm_balancer(count=4)
+    balancer.report("t0", LoadReport(0, 2, False, True), 1.0)
+    assert "t0" not in chosen_targets(balancer, 1.5)
+    assert "t0" in chosen_targets(balancer, 2.5)
+
+
 def test_nothing_is_ejected_when_all_targets_fail():
     balancer = make_warm_balancer(count=4)
     for _ in range(10):
--- a/packages/baobabring/baobabring/balancing/tests/test_ejection.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_ejection.py
@@ -58,7 +58,7 @@
 events = st.lists(
     st.tuples(
         st.sampled_from(TARGETS),
-        st.sampled_from(["fail", "unreachable", "good", "slow"]),
+        st.sampled_from(["fail", "unreachable", "good", "slow", "drains"]),
         st.floats(0.0, 0.5),
     ),
     max_size=200,
@@ -72,7 +72,9 @@
     now_s = 1.0
     for target_id, event, elapsed_s in events:
         now_s += elapsed_s
-        if event in ("good", "slow"):
+        if event == "drains":
+            ejection.set_aside(target_id, now_s)
+        elif event in ("good", "slow"):
             ratio = 1.0 if event == "good" else 9.0
             ejection.succeeded(target_id, ratio, now_s)
         else:
