--- a/packages/baobabring/baobabring/balancing/_service.py
+++ b/packages/baobabring/baobabring/balancing/_service.py
@@ -1,8 +1,9 @@
 """State of one service for the choice of targets."""
 
 from dataclasses import dataclass, field
+from math import exp
 
-from baobabring.balancing._candidate import Candidate
+from baobabring.balancing._candidate import PEAK_DECAY_S, Candidate
 from baobabring.balancing._ejection import OutlierEjection
 from baobabring.balancing._peers import AgeScale
 from baobabring.balancing._policy import TargetPolicy
@@ -10,7 +11,6 @@
 
 LATENCY_GAIN = 0.1
 SERVICE_LATENCY_GAIN = 0.01
-PEAK_DECAY_S = 1.0
 FAILURE_COST_CALLS = 1.0
 FAILURE_COST_LIMIT_CALLS = 8.0
 PROBATION_ANSWERS = 3
@@ -35,14 +35,16 @@
     probation_left: int = 0
     bounds_s: list[float] = field(default_factory=list)
 
-    def set_room_limit(self, oversubscription: float) -> None:
-        """Derive the room limit from slots and probation."""
+    def set_limits(self, oversubscription: float) -> None:
+        """Derive the limits on calls from slots and probation."""
+        candidate = self.candidate
         if self.probation_left:
-            self.candidate.room_limit = PROBATION_LIMIT
+            candidate.room_limit = candidate.wait_limit = PROBATION_LIMIT
             return
-        slots = self.target.slots * oversubscription
         # A peer's call counts as one until its weight falls below a half.
-        self.candidate.room_limit = slots - HALF_CALL
+        slots = self.target.slots * min(1.0, oversubscription)
+        candidate.room_limit = slots - HALF_CALL
+        candidate.wait_limit = self.target.slots * oversubscription - HALF_CALL
 
     def observe_latency(self, latency_ms: float, now_s: float) -> None:
         """Take the time to the first byte of an answer into the averages."""
@@ -56,9 +58,9 @@
         if latency_ms > candidate.peak_latency_ms:
             candidate.peak_latency_ms = latency_ms
         else:
-            share = min(1.0, elapsed_s / PEAK_DECAY_S)
+            kept = exp(-elapsed_s / PEAK_DECAY_S)
             fall_ms = candidate.peak_latency_ms - latency_ms
-            candidate.peak_latency_ms -= share * fall_ms
+            candidate.peak_latency_ms -= (1.0 - kept) * fall_ms
         candidate.latency_ratio = candidate.latency_ms / self.service.mean_latency_ms
         candidate.latency_at_s = now_s
 
--- a/packages/baobabring/baobabring/balancing/tests/test_balancer.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_balancer.py
@@ -10,7 +10,7 @@
     make_target,
     make_warm_balancer,
 )
-from baobabring.model import Lost, Reason, Shed, TargetState
+from baobabring.model import LoadReport, Lost, Reason, Shed, TargetState
 
 
 def chosen_targets(balancer, now_s: float) -> set[str | None]:
@@ -56,6 +56,13 @@
     assert balancer.choose("menu", 1.0) is None
 
 
+def test_calls_wait_at_a_target_only_while_no_slot_is_free():
+    balancer = make_warm_balancer(count=2, oversubscription=1.5)
+    for _ in range(2):
+        balancer.attempt_started("t0", 1.0)
+    assert chosen_targets(balancer, 1.0) == {"t1"}
+
+
 def test_policies_without_peers_see_own_calls_only():
     balancer = make_warm_balancer(count=1, policy="two-choices")
     balancer.sharing.apply(update({"t0": 2}, 1, 1.0), 1.0)
@@ -121,6 +128,13 @@
     assert balancer.cold_start.due_proposal(3.0) is not None
 
 
+def test_target_that_says_it_drains_is_set_aside_for_a_while():
+    balancer = make_warm_balancer(count=4)
+    balancer.report("t0", LoadReport(0, 2, False, True), 1.0)
+    assert "t0" not in chosen_targets(balancer, 1.5)
+    assert "t0" in chosen_targets(balancer, 2.5)
+
+
 def test_nothing_is_ejected_when_all_targets_fail():
     balancer = make_warm_balancer(count=4)
     for _ in range(10):
