Start no work before any configuration is known

Cause: an instance whose list could be read but whose log could not counted itself as degraded, so it said that it was ready with nothing configured and refused every call as of no service. It is ready once it has read the log's end, or has a peer's state. Found through config_all_replaced.scn, which failed in a run of all tests on a machine with a load of 32 on 10 cores: its records expired after 3 s, while the new instances took longer to start, so the configuration was truly gone.

--- a/packages/baobabring/baobabring/program/_node.py
+++ b/packages/baobabring/baobabring/program/_node.py
@@ -168,7 +168,10 @@
         self._judge_confirmation()
 
     def _judge_confirmation(self) -> None:
-        may_start_work = self.parts.membership.may_start_work()
+        may_start_work = (
+            self.parts.reader.knows_configuration
+            and self.parts.membership.may_start_work()
+        )
         if may_start_work != self._may_start_work:
             self._may_start_work = may_start_work
             LOG.info("new work", allowed=may_start_work)
--- a/packages/baobabring/baobabring/publication/_reader.py
+++ b/packages/baobabring/baobabring/publication/_reader.py
@@ -68,6 +68,11 @@
         """Return when the configuration was last known to be the newest."""
         return self._confirmed_at_s
 
+    @property
+    def knows_configuration(self) -> bool:
+        """Tell whether anything is known, even if only that nothing was published."""
+        return self._confirmed_at_s is not None or self.fold.next_offset > 0
+
     @property
     def started_reads(self) -> int:
         """Return the number of the read that was started last."""
--- a/packages/baobabring/baobabring/publication/tests/test_reader.py
+++ b/packages/baobabring/baobabring/publication/tests/test_reader.py
@@ -216,3 +216,29 @@
     assert await survivor.write_snapshot_if_due()
     await newcomer.read_once()
     assert newcomer.configuration == survivor.configuration
+
+
+async def test_nothing_is_known_while_the_log_can_not_be_read(log):
+    reader = make_reader(log)
+    log.readable = False
+    await reader.read_once()
+    assert not reader.knows_configuration
+
+
+async def test_a_gap_without_a_snapshot_is_not_knowing(log):
+    put_service(log, "menu", 0)
+    log.expire(1)
+    reader = make_reader(log)
+    await reader.read_once()
+    assert not reader.knows_configuration
+
+
+async def test_a_configuration_is_known_by_an_empty_log_or_by_a_peer(log):
+    reader = make_reader(log)
+    await reader.read_once()
+    assert reader.knows_configuration
+    put_service(log, "menu", 0)
+    await reader.read_once()
+    starting = make_reader(log)
+    starting.load_from_peer(reader.fold.snapshot_payload())
+    assert starting.knows_configuration
--- a/packages/baobabstandins/baobabstandins/scenarios/_actions.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_actions.py
@@ -55,6 +55,11 @@
     await _put_platform(run, lose_answers=action.count)
 
 
+@act.register
+async def _(action: model.KeepRecords, run: Run) -> None:
+    await _put_platform(run, retention_ms=action.for_s * MS_PER_S)
+
+
 @act.register
 async def _(action: model.Outage, run: Run) -> None:
     await _put_platform(run, outage=True)
--- a/packages/baobabstandins/baobabstandins/scenarios/_model.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_model.py
@@ -103,6 +103,13 @@
     count: int
 
 
+@dataclass(frozen=True, slots=True)
+class KeepRecords:
+    """Set how long the log keeps records from now on."""
+
+    for_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Outage:
     """Make the log unavailable for a while."""
--- a/packages/baobabstandins/baobabstandins/scenarios/_parser.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_parser.py
@@ -138,6 +138,7 @@
     pause_instance = model.PauseInstance
     cut_instance = model.CutInstance
     lose_answers = model.LoseAnswers
+    keep_records = model.KeepRecords
     outage = model.Outage
     slow_platform = model.SlowPlatform
     freeze_list = model.FreezeList
