--- a/packages/baobabring/baobabring/claims/_coordinator.py
+++ b/packages/baobabring/baobabring/claims/_coordinator.py
@@ -105,7 +105,11 @@
         read_started_at_s: float,
         now_s: float,
     ) -> list[ClaimEvent]:
-        """Fold what a read gave; return what it means for calls."""
+        """Fold what a read gave; return what it means for calls.
+
+        Read on at once, and wait for records less than `log_failing_limit_s`: without
+        a read that ends in time the log counts as failing.
+        """
         effects = self._partitions[partition].apply(outcome, read_started_at_s, now_s)
         for effect in effects:
             if isinstance(effect, SettlementFolded):
@@ -223,6 +227,11 @@
         """Return how many records could not be decoded."""
         return sum(part.table.skipped_records for part in self._partitions)
 
+    @property
+    def contradicting_results(self) -> int:
+        """Return how many results came of claims that were settled as not run."""
+        return sum(part.table.contradicting_results for part in self._partitions)
+
     @property
     def known_keys(self) -> int:
         """Return how many keys are held in memory."""
--- a/packages/baobabring/baobabring/claims/_table.py
+++ b/packages/baobabring/baobabring/claims/_table.py
@@ -113,6 +113,7 @@
         self.read_to_end = False
         self.skipped_records = 0
         self.ignored_records = 0
+        self.contradicting_results = 0
         self._entries: dict[KeyId, KeyEntry] = {}
         self._drops: list[tuple[float, KeyId]] = []
 
@@ -235,10 +236,16 @@
         entry = self._held_by(result)
         if entry is None or entry.answer is not None:
             self.ignored_records += 1
+            self._note_contradiction(result)
             return
         entry.answer = kept_answer_of(result)
         self._change(result, entry, KeyState.ANSWERED, effects)
 
+    def _note_contradiction(self, result: Result) -> None:
+        entry = self._entries.get((result.service_id, result.key))
+        if entry is not None and result.claim_id in entry.spent_ids:
+            self.contradicting_results += 1
+
     def _fold_release(self, release: Release, effects: list[FoldEffect]) -> None:
         entry = self._held_by(release)
         if entry is not None and entry.state is KeyState.CLAIMED:
--- a/packages/baobabring/baobabring/claims/tests/test_coordinator.py
+++ b/packages/baobabring/baobabring/claims/tests/test_coordinator.py
@@ -17,8 +17,9 @@
     Settlement,
     SettlementState,
     create_claim_coordinator,
+    partition_of,
 )
-from baobabring.claims._records import Release, Result
+from baobabring.claims._records import Release, Result, decode_batch
 from baobabring.claims.tests._support import (
     NOW_S,
     SETTINGS,
@@ -366,6 +367,22 @@
     assert reply == NotSettleable(NotSettleableReason.OUTCOME_KNOWN)
 
 
+def test_keys_of_each_partition_go_to_its_stream():
+    claims = create_claim_coordinator("i1", 4, SETTINGS, seeded())
+    for partition in range(4):
+        claims.apply_page(partition, StreamModel().page(0), NOW_S, NOW_S)
+    for number in range(32):
+        key = key_at(NOW_S, number)
+        call_id = f"c{number}"
+        claims.request(
+            call_id, "pay", key, b"f", "default", "POST", "/", NOW_S + 5, NOW_S
+        )
+    for append in claims.append_due(NOW_S):
+        records = decode_batch(append.payload)[0].records
+        partitions = {partition_of("pay", record.key, 4) for record in records}
+        assert partitions == {append.partition}
+
+
 def test_settings_out_of_range_are_an_error():
     settings = dataclasses.replace(SETTINGS, window_s=0.0)
     with pytest.raises(ValueError, match="window_s must be positive, got 0.0"):
--- a/packages/baobabring/baobabring/claims/tests/test_table.py
+++ b/packages/baobabring/baobabring/claims/tests/test_table.py
@@ -121,6 +121,14 @@
     assert fold.state() is KeyState.CLAIMED
 
 
+def test_result_of_a_claim_settled_as_not_run_is_counted(fold):
+    fold.add(claim_of(KEY, b"1", deadline_s=NOW_S + 10))
+    fold.add(settled(b"1", Settlement.NOT_RUN), at_s=NOW_S + 20)
+    fold.add(result(b"1"), at_s=NOW_S + 21)
+    assert fold.state() is KeyState.FREE
+    assert fold.table.contradicting_results == 1
+
+
 def test_result_after_undetermined_is_kept(fold):
     fold.add(claim_of(KEY, b"1"), Undetermined(b"1", "pay", KEY))
     assert fold.state() is KeyState.UNDETERMINED
