--- /dev/null
+++ b/scenarios/test_strangers.py
@@ -0,0 +1,76 @@
+"""Send an instance what strangers send and check that it keeps its state."""
+
+import asyncio
+
+import aiohttp
+import zmq
+from baobabstandins.fleet import (
+    Fleet,
+    HistoryCaller,
+    Operator,
+    PlatformOptions,
+    TargetOptions,
+    make_call,
+    put_service,
+)
+
+STREAMS = ("config", "cold-leases", "claims-0", "claims-1", "claims-2", "claims-3")
+BAD_RECORDS = (b"", b"\xc1", b"garbage", b"\x92\x01\x02", b"\xff" * 4096)
+BAD_FRAMES = (b"", b"\x01", b"\xff\x01", b"\x01\xff", b"\x01\x01\xc1", b"\x01\x02\x90")
+BAD_REQUESTS = (
+    b"\x00\xff\x00\xff\r\n\r\n",
+    b"POST /orders/1 HTTP/1.1\r\nHost: a\r\nContent-Length: -5\r\n\r\n",
+    b"POST /orders/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+    b"POST /orders/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 999999999999\r\n\r\n",
+    b"POST /orders/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc",
+)
+
+
+async def append_bad_records(address: str) -> None:
+    async with aiohttp.ClientSession() as session:
+        for stream in STREAMS:
+            for record in BAD_RECORDS:
+                url = f"http://{address}/log/{stream}"
+                async with session.post(url, data=record) as response:
+                    assert response.status == 201
+
+
+def send_bad_frames(address: str) -> None:
+    with zmq.Context() as context, context.socket(zmq.PUSH) as socket:
+        socket.linger = 1_000
+        socket.connect(f"tcp://{address}")
+        for frame in BAD_FRAMES:
+            socket.send(frame)
+
+
+async def send_bad_requests(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    for request in BAD_REQUESTS:
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(request)
+        await writer.drain()
+        writer.close()
+
+
+async def test_strangers_change_nothing(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        await fleet.start_platform(PlatformOptions())
+        targets = await fleet.start_targets("orders", 2, "sapporo", TargetOptions())
+        await fleet.start_instances(2, "sapporo")
+        operator = Operator(fleet.rotation)
+        change = put_service("orders", "/orders", "required", 1, targets)
+        revision = await operator.publish(change)
+        await operator.wait_in_force(revision)
+        await append_bad_records(fleet.platform.address)
+        for member in fleet.instances:
+            send_bad_frames(member.peer_address)
+            await send_bad_requests(member.caller_address)
+        # A newcomer reads the bad records from the start.
+        await fleet.start_instances(1, "sapporo")
+        async with HistoryCaller(fleet.rotation, seed=1) as caller:
+            calls = [make_call("/orders", idempotent=False) for _ in range(30)]
+            await asyncio.gather(*(caller.call(call, repeats=2) for call in calls))
+            ended = [getattr(event, "outcome", None) for event in caller.history]
+        assert ended.count("completed") == len(calls)
+        assert all(member.child.running for member in fleet.instances)
+        await operator.wait_in_force(revision)
