--- /dev/null
+++ b/scenarios/test_keys.py
@@ -0,0 +1,57 @@
+"""Send keys that were used for another request, and keys that are too old."""
+
+import time
+from dataclasses import replace
+
+from baobabstandins.fleet import (
+    Fleet,
+    HistoryCaller,
+    Operator,
+    PlatformOptions,
+    TargetOptions,
+    make_call,
+    put_service,
+)
+
+MS_PER_S = 1_000
+OLDER_THAN_THE_WINDOW_S = 7_200
+
+
+def old_key() -> str:
+    """Return a UUID of version 7 that tells an age beyond the claims' window."""
+    digits = f"{int((time.time() - OLDER_THAN_THE_WINDOW_S) * MS_PER_S):012x}"
+    return f"{digits[:8]}-{digits[8:]}-7abc-8def-0123456789ab"
+
+
+async def start_orders(fleet: Fleet) -> None:
+    await fleet.start_platform(PlatformOptions())
+    targets = await fleet.start_targets("orders", 2, "sapporo", TargetOptions())
+    await fleet.start_instances(2, "sapporo")
+    operator = Operator(fleet.rotation)
+    change = put_service("orders", "/orders", "required", 1, targets)
+    await operator.wait_in_force(await operator.publish(change))
+
+
+async def paths_run(fleet: Fleet) -> list[str]:
+    journals = [await fleet.journal(target) for target in fleet.targets.values()]
+    return [entry.path for journal in journals for entry in journal]
+
+
+async def test_keys_serve_one_request_while_they_are_young(tmp_path):
+    async with Fleet(tmp_path) as fleet:
+        await start_orders(fleet)
+        async with HistoryCaller(fleet.rotation, seed=1) as caller:
+            first = make_call("/orders", idempotent=False)
+            other = replace(make_call("/orders", idempotent=False), key=first.key)
+            foreign = replace(first, tenant="another")
+            old = replace(make_call("/orders", idempotent=False), key=old_key())
+            for call in (first, other, foreign, old):
+                await caller.call(call, repeats=0)
+            ended = [e for e in caller.history if hasattr(e, "outcome")]
+        assert [(e.outcome, e.reason) for e in ended] == [
+            ("completed", ""),
+            ("not-run", "key-reused"),
+            ("not-run", "key-reused"),
+            ("unknown", "key-too-old"),
+        ]
+        assert await paths_run(fleet) == [first.path]
