--- a/packages/baobabring/baobabring/claims/tests/test_coordinator.py
+++ b/packages/baobabring/baobabring/claims/tests/test_coordinator.py
@@ -17,8 +17,9 @@
     Settlement,
     SettlementState,
     create_claim_coordinator,
+    partition_of,
 )
-from baobabring.claims._records import Release, Result
+from baobabring.claims._records import Release, Result, decode_batch
 from baobabring.claims.tests._support import (
     NOW_S,
     SETTINGS,
@@ -273,6 +274,24 @@
     assert instance.request("b", now_s=NOW_S + 3) == ClaimPending("b")
 
 
+def test_next_append_waits_for_the_log(instance):
+    next_append_at_s = instance.claims.next_append_at_s
+    instance.request("a")
+    assert next_append_at_s(NOW_S) is None
+    instance.read()
+    assert next_append_at_s(NOW_S) == NOW_S
+    instance.append(outcome=AppendRefused(NOW_S + 1), lands=False)
+    assert next_append_at_s(NOW_S) == NOW_S + 1
+
+
+def test_instance_is_idle_once_its_records_are_in_the_log(instance):
+    instance.win("a")
+    instance.claims.finish_result("a", ANSWER, NOW_S)
+    assert not instance.claims.idle
+    instance.append()
+    assert instance.claims.idle
+
+
 def test_cancelled_claim_that_may_be_in_the_log_is_released(instance):
     instance.read()
     instance.request("a")
@@ -348,6 +367,22 @@
     assert reply == NotSettleable(NotSettleableReason.OUTCOME_KNOWN)
 
 
+def test_keys_of_each_partition_go_to_its_stream():
+    claims = create_claim_coordinator("i1", 4, SETTINGS, seeded())
+    for partition in range(4):
+        claims.apply_page(partition, StreamModel().page(0), NOW_S, NOW_S)
+    for number in range(32):
+        key = key_at(NOW_S, number)
+        call_id = f"c{number}"
+        claims.request(
+            call_id, "pay", key, b"f", "default", "POST", "/", NOW_S + 5, NOW_S
+        )
+    for append in claims.append_due(NOW_S):
+        records = decode_batch(append.payload)[0].records
+        partitions = {partition_of("pay", record.key, 4) for record in records}
+        assert partitions == {append.partition}
+
+
 def test_settings_out_of_range_are_an_error():
     settings = dataclasses.replace(SETTINGS, window_s=0.0)
     with pytest.raises(ValueError, match="window_s must be positive, got 0.0"):
