--- a/packages/baobabring/baobabring/claims/_coordinator.py
+++ b/packages/baobabring/baobabring/claims/_coordinator.py
@@ -222,11 +222,6 @@
         """Tell that every record is in the log; a shutdown waits for it."""
         return all(part.batcher.idle for part in self._partitions)
 
-    @property
-    def idle(self) -> bool:
-        """Tell that no record waits to be appended."""
-        return all(part.batcher.idle for part in self._partitions)
-
     @property
     def skipped_records(self) -> int:
         """Return how many records could not be decoded."""
