Wait for the longest deadline of any rule at a shutdown

Cause: an instance that left waited 60 s at most, while a rule may allow 600 s. It waits for the longest deadline that is configured, and 30 s more for records of the last calls.

--- a/packages/baobabring/baobabring/calls/__init__.py
+++ b/packages/baobabring/baobabring/calls/__init__.py
@@ -7,7 +7,7 @@
     StartAttempt,
 )
 from baobabring.calls._engine import CallEngine
-from baobabring.calls._routing import Route, Router
+from baobabring.calls._routing import Route, Router, longest_deadline_ms
 
 __all__ = [
     "AnswerCall",
@@ -17,4 +17,5 @@
     "Route",
     "Router",
     "StartAttempt",
+    "longest_deadline_ms",
 ]
--- a/packages/baobabring/baobabring/calls/_routing.py
+++ b/packages/baobabring/baobabring/calls/_routing.py
@@ -42,6 +42,16 @@
         return None
 
 
+def longest_deadline_ms(configuration: Configuration) -> int:
+    """Return the longest deadline that any call can have."""
+    limits_ms = [
+        rule.deadline_limit_ms
+        for service in configuration.services.values()
+        for rule in service.rules
+    ]
+    return max([DEFAULT_DEADLINE_LIMIT_MS, *limits_ms])
+
+
 def _has_prefix(path: str, prefix: str) -> bool:
     if not path.startswith(prefix):
         return False
--- a/packages/baobabring/baobabring/program/_node.py
+++ b/packages/baobabring/baobabring/program/_node.py
@@ -11,6 +11,7 @@
 import zmq
 
 from baobabring.callers import create_app
+from baobabring.calls import longest_deadline_ms
 from baobabring.model import Configuration
 from baobabring.operators import create_operators_server, read_certificates
 from baobabring.program._control_plane import NodeControlPlane
@@ -22,7 +23,7 @@
 
 VIEW_INTERVAL_S = 0.1
 IDLE_POLL_S = 0.02
-LEAVE_LIMIT_S = 60.0
+RECORD_LIMIT_S = 30.0
 RPC_GRACE_S = 1.0
 MS_PER_S = 1_000
 BACKLOG_CONNECTIONS = 2_048
@@ -186,12 +187,17 @@
         await self.parts.membership.leave()
         await asyncio.sleep(self.settings.callers.leave_lag_ms / MS_PER_S)
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LEAVE_LIMIT_S):
+            async with asyncio.timeout(self._leave_limit_s()):
                 await self._wait_idle()
         self._server.should_exit = True
         await serving
         LOG.info("left")
 
+    def _leave_limit_s(self) -> float:
+        """Return how long the last calls and the records of them may take."""
+        longest_ms = longest_deadline_ms(self.parts.reader.configuration)
+        return longest_ms / MS_PER_S + RECORD_LIMIT_S
+
     async def _wait_idle(self) -> None:
         parts = self.parts
         while not (parts.dispatcher.idle() and parts.claims.idle):
