--- a/packages/baobabring/baobabring/calls/_engine.py
+++ b/packages/baobabring/baobabring/calls/_engine.py
@@ -1,10 +1,9 @@
 """State machine of all calls of one instance."""
 
-import heapq
 import random
 from collections.abc import Iterable
 
-from baobabring.admission import AdmissionQueue, Refused, Waiting
+from baobabring.admission import AdmissionQueue, Refused
 from baobabring.balancing import Balancer
 from baobabring.calls._commands import (
     AnswerCall,
@@ -16,10 +15,12 @@
     CallState,
     Phase,
     RunningAttempt,
+    describe_waiting,
     fingerprint_call,
     replay_answer,
     true_outcome,
 )
+from baobabring.calls._timers import CallTimers
 from baobabring.claims import (
     ClaimCoordinator,
     ClaimEvent,
@@ -81,8 +82,7 @@
         self.rng = rng
         self._may_start_work = False
         self._calls: dict[str, CallState] = {}
-        self._timers: list[tuple[float, int, str]] = []
-        self._timer_count = 0
+        self._timers = CallTimers()
         self._commands: list[Command] = []
 
     @property
@@ -124,7 +124,7 @@
         if not self._may_start_work:
             self._refuse(state, Reason.NOT_CONFIRMED, now_s)
             return
-        self._set_timer(call.deadline_s, call.call_id)
+        self._timers.add(call.deadline_s, call.call_id)
         if call.rule.idempotent:
             self._find_target(state, now_s)
         elif call.key is not None:
@@ -177,8 +177,7 @@
         """Give up calls whose time is over, hedge late ones and drain the queue."""
         for call_id in self.queue.expire(now_s):
             self._refuse(self._calls[call_id], Reason.OVERLOAD, now_s)
-        while self._timers and self._timers[0][0] <= now_s:
-            _, _, call_id = heapq.heappop(self._timers)
+        for call_id in self._timers.pop_due(now_s):
             state = self._calls.get(call_id)
             if state is not None:
                 self._timer_fired(state, now_s)
@@ -193,13 +192,9 @@
                 return
             state = self._calls[call_id]
             if not self._start_attempt(state, now_s):
-                self.queue.put_back(self._waiting(state))
+                self.queue.put_back(describe_waiting(state.call))
                 return
 
-    def _set_timer(self, at_s: float, call_id: str) -> None:
-        self._timer_count += 1
-        heapq.heappush(self._timers, (at_s, self._timer_count, call_id))
-
     def _timer_fired(self, state: CallState, now_s: float) -> None:
         if state.call.deadline_s <= now_s:
             self._deadline_passed(state, now_s)
@@ -264,7 +259,7 @@
         if not self.balancer.has_targets(state.call.service_id):
             self._refuse(state, Reason.NO_TARGET, now_s)
             return
-        outcome = self.queue.offer(self._waiting(state), now_s)
+        outcome = self.queue.offer(describe_waiting(state.call), now_s)
         if isinstance(outcome, Refused):
             not_run = NotRun(Reason.OVERLOAD, outcome.retry_at_s)
             self._finish(state, not_run, now_s)
@@ -273,18 +268,6 @@
             not_run = NotRun(Reason.OVERLOAD, displaced.retry_at_s)
             self._finish(self._calls[displaced.call_id], not_run, now_s)
 
-    def _waiting(self, state: CallState) -> Waiting:
-        call = state.call
-        return Waiting(
-            call_id=call.call_id,
-            service_id=call.service_id,
-            tenant=call.tenant,
-            request_class=call.rule.request_class,
-            priority=call.rule.priority,
-            deadline_s=call.deadline_s,
-            enqueued_at_s=call.arrived_at_s,
-        )
-
     def _start_attempt(self, state: CallState, now_s: float) -> bool:
         call = state.call
         if not self._may_start_work:
@@ -380,7 +363,7 @@
         service_id = state.call.service_id
         hedge_at_s = self.hedge_policy.hedge_at_s(service_id, True, now_s)
         if hedge_at_s is not None and hedge_at_s < state.call.deadline_s:
-            self._set_timer(hedge_at_s, state.call.call_id)
+            self._timers.add(hedge_at_s, state.call.call_id)
 
     def _should_hedge(self, state: CallState) -> bool:
         first_runs = state.phase is Phase.TARGET and len(state.running) == 1
--- a/packages/baobabring/baobabring/calls/_state.py
+++ b/packages/baobabring/baobabring/calls/_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
+from baobabring.admission import Waiting
 from baobabring.claims import KeptAnswer
 from baobabring.model import (
     Answer,
@@ -54,6 +55,19 @@
         return self.last_answered is not None or self.last_lost is not None
 
 
+def describe_waiting(call: Call) -> Waiting:
+    """Return what the queue has to know of a call."""
+    return Waiting(
+        call_id=call.call_id,
+        service_id=call.service_id,
+        tenant=call.tenant,
+        request_class=call.rule.request_class,
+        priority=call.rule.priority,
+        deadline_s=call.deadline_s,
+        enqueued_at_s=call.arrived_at_s,
+    )
+
+
 def true_outcome(state: CallState, outcome: CallOutcome) -> CallOutcome:
     """Return the outcome, but never "not run" of a call that may have run."""
     if not isinstance(outcome, NotRun) or not state.may_have_run:
--- a/packages/baobabring/baobabring/operators/__init__.py
+++ b/packages/baobabring/baobabring/operators/__init__.py
@@ -6,9 +6,7 @@
     NotSettleable,
     ReportedState,
     Settled,
-    Settlement,
     SettlementOutcome,
-    UnknownOutcome,
 )
 from baobabring.operators._server import (
     BoundServer,
@@ -26,9 +24,7 @@
     "NotSettleable",
     "ReportedState",
     "Settled",
-    "Settlement",
     "SettlementOutcome",
-    "UnknownOutcome",
     "bind_operators_server",
     "create_operators_server",
     "read_certificates",
--- a/packages/baobabring/baobabring/operators/_control_plane.py
+++ b/packages/baobabring/baobabring/operators/_control_plane.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from baobabring.claims import Settlement, UnknownOutcome
 from baobabring.configuration import Change
 from baobabring.model import Configuration
 from baobabring.publication import ProposalOutcome, Unconfirmed
@@ -29,26 +30,6 @@
     confirmed_age_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class UnknownOutcome:
-    """Describe a claimed call whose outcome nobody recorded."""
-
-    service_id: str
-    key: str
-    method: str
-    path: str
-    tenant: str
-    instance_id: str
-    claimed_at_s: float
-
-
-class Settlement(StrEnum):
-    """Say what an operator found out about an unknown outcome."""
-
-    RAN = "ran"
-    NOT_RUN = "not_run"
-
-
 @dataclass(frozen=True, slots=True)
 class Settled:
     """Tell that the settlement was recorded."""
--- a/packages/baobabring/baobabring/operators/_replies.py
+++ b/packages/baobabring/baobabring/operators/_replies.py
@@ -4,6 +4,7 @@
 
 from baobabapi import operators_pb2 as pb
 
+from baobabring.claims import UnknownOutcome
 from baobabring.configuration import Accepted, Conflict, Finding, Rejected
 from baobabring.model import Configuration, Rule, Service, Target, ZoneState
 from baobabring.operators._control_plane import (
@@ -11,7 +12,6 @@
     NotSettleable,
     Settled,
     SettlementOutcome,
-    UnknownOutcome,
 )
 from baobabring.operators._requests import KEY_RULES, TARGET_STATES, ZONE_STATES
 from baobabring.publication import ProposalOutcome, Unconfirmed
--- a/packages/baobabring/baobabring/operators/_requests.py
+++ b/packages/baobabring/baobabring/operators/_requests.py
@@ -6,6 +6,7 @@
 
 from baobabapi import operators_pb2 as pb
 
+from baobabring.claims import Settlement
 from baobabring.configuration import (
     Change,
     DeleteService,
@@ -26,7 +27,6 @@
     TargetState,
     ZoneState,
 )
-from baobabring.operators._control_plane import Settlement
 
 MAX_CHANGE_ID_CHARACTERS = 64
 MAX_KEY_CHARACTERS = 256
--- a/packages/baobabring/baobabring/operators/tests/fakes.py
+++ b/packages/baobabring/baobabring/operators/tests/fakes.py
@@ -2,15 +2,14 @@
 
 from dataclasses import dataclass, field
 
+from baobabring.claims import Settlement, UnknownOutcome
 from baobabring.configuration import Accepted, Change
 from baobabring.model import Configuration
 from baobabring.operators import (
     ControlPlane,
     InstanceStatus,
     Settled,
-    Settlement,
     SettlementOutcome,
-    UnknownOutcome,
 )
 from baobabring.publication import ProposalOutcome
 
--- a/packages/baobabring/baobabring/operators/tests/test_servicer.py
+++ b/packages/baobabring/baobabring/operators/tests/test_servicer.py
@@ -7,6 +7,7 @@
 from baobabapi import operators_pb2 as pb
 from baobabapi import operators_pb2_grpc as pb_grpc
 
+from baobabring.claims import Settlement, UnknownOutcome
 from baobabring.configuration import (
     Accepted,
     Conflict,
@@ -33,8 +34,6 @@
     NotSettleable,
     ReportedState,
     Settled,
-    Settlement,
-    UnknownOutcome,
     bind_operators_server,
 )
 from baobabring.operators.tests.fakes import FakeControlPlane
--- a/packages/baobabring/baobabring/program/_control_plane.py
+++ b/packages/baobabring/baobabring/program/_control_plane.py
@@ -4,10 +4,11 @@
 
 from baobabring.claims import (
     ClaimCoordinator,
+    Settlement,
     SettlementState,
     SettleRequested,
+    UnknownOutcome,
 )
-from baobabring.claims import Settlement as ClaimSettlement
 from baobabring.configuration import Change
 from baobabring.membership import Member
 from baobabring.model import Configuration
@@ -17,9 +18,7 @@
     NotSettleable,
     ReportedState,
     Settled,
-    Settlement,
     SettlementOutcome,
-    UnknownOutcome,
 )
 from baobabring.program._claims_task import ClaimsTask
 from baobabring.program._membership_task import MembershipTask
@@ -34,11 +33,6 @@
 POLL_S = 0.02
 MAX_AGE_MS = 2**32 - 1
 
-CLAIM_SETTLEMENTS = {
-    Settlement.RAN: ClaimSettlement.RAN,
-    Settlement.NOT_RUN: ClaimSettlement.NOT_RUN,
-}
-
 
 class NodeControlPlane(ControlPlane):
     """Carry out the operators' calls by the parts of an instance."""
@@ -105,26 +99,13 @@
 
     def unknown_outcomes(self) -> tuple[UnknownOutcome, ...]:
         """Return the unknown outcomes known here."""
-        return tuple(
-            UnknownOutcome(
-                service_id=outcome.service_id,
-                key=outcome.key,
-                method=outcome.method,
-                path=outcome.path,
-                tenant=outcome.tenant,
-                instance_id=outcome.instance_id,
-                claimed_at_s=outcome.claimed_at_s,
-            )
-            for outcome in self.claims.unknown_outcomes(self.clock.now_s())
-        )
+        return tuple(self.claims.unknown_outcomes(self.clock.now_s()))
 
     async def settle(
         self, service_id: str, key: str, settlement: Settlement, deadline_s: float
     ) -> SettlementOutcome:
         """Record what became of a call whose outcome is unknown."""
-        requested = self.claims.settle(
-            service_id, key, CLAIM_SETTLEMENTS[settlement], self.clock.now_s()
-        )
+        requested = self.claims.settle(service_id, key, settlement, self.clock.now_s())
         if not isinstance(requested, SettleRequested):
             return NotSettleable(requested.reason.value)
         while self.clock.now_s() < deadline_s:
