--- a/packages/baobabring/baobabring/operators/_requests.py
+++ b/packages/baobabring/baobabring/operators/_requests.py
@@ -1,7 +1,7 @@
 """Translation of requests into typed changes, with findings."""
 
 from dataclasses import dataclass
-from enum import StrEnum
+from enum import Enum
 from typing import Any, TypeVar
 
 from baobabapi import operators_pb2 as pb
@@ -47,7 +47,7 @@
     pb.SETTLEMENT_NOT_RUN: Settlement.NOT_RUN,
 }
 
-E = TypeVar("E", bound=StrEnum)
+E = TypeVar("E", bound=Enum)
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +171,6 @@
 ) -> E:
     if value in known:
         return known[value]
-    names = ", ".join(known.values())
+    names = ", ".join(member.name.lower() for member in known.values())
     findings.append(Finding(place, f"must be one of {names}, got {value}"))
     return fallback
