--- a/packages/baobabstandins/baobabstandins/scenarios/_expectations.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_expectations.py
@@ -83,7 +83,7 @@
 
 @check.register
 def _(expectation: model.ProbeBudget, run: Run) -> list[Finding]:
-    duration_s = run.ended_at_s - run.started_at_s
+    duration_s = run.ended_at_s - run.published_at_s
     return checker.check_probe_budget(
         run.records, duration_s, expectation.budget_ms_per_s
     )
--- a/packages/baobabstandins/baobabstandins/scenarios/_run.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_run.py
@@ -34,7 +34,7 @@
     turned_cold_at_s: dict[str, float] = field(default_factory=dict)
     terminated: list[InstanceMember] = field(default_factory=list)
     records: list[TargetRecord] = field(default_factory=list)
-    started_at_s: float = 0.0
+    published_at_s: float | None = None
     last_event_at_s: float = 0.0
     ended_at_s: float = 0.0
 
--- a/packages/baobabstandins/baobabstandins/scenarios/_runner.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_runner.py
@@ -39,7 +39,6 @@
 
 async def _execute(run: Run) -> list[Finding]:
     """Carry the scenario out; return what went wrong with the run itself."""
-    run.started_at_s = time.time()
     for step in run.scenario.setup:
         await set_up(step, run)
     findings = []
@@ -148,4 +147,5 @@
     events = [*run.caller.history, *run.operator.accepted, *run.operator.seen]
     lines = [f"{event}\n" for event in events]
     lines += [f"{r.target_id} {entry}\n" for r in run.records for entry in r.entries]
+    lines += [f"{r.target_id} {r.counters}\n" for r in run.records]
     path.write_text("".join(lines))
--- a/packages/baobabstandins/baobabstandins/scenarios/_setup.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_setup.py
@@ -1,5 +1,6 @@
 """Carry out the statements that set a scenario up."""
 
+import time
 from functools import singledispatch
 
 from baobabstandins.fleet import put_service
@@ -39,6 +40,8 @@
         for target_id, member in run.fleet.targets.items()
         if run.service_of_target[target_id] == step.service_id
     ]
+    if run.published_at_s is None:
+        run.published_at_s = time.time()
     change = put_service(
         step.service_id, step.prefix, step.key_rule, step.cold_limit, targets
     )
