--- a/packages/baobabstandins/baobabstandins/scenarios/_generator.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_generator.py
@@ -10,11 +10,14 @@
 LOAD_S = 5.0
 FAULTS = 8
 FAULT_S = (0.3, 1.5)
+ZONE_OUT = "hakodate"
+ZONE_OUT_AT_S = (0.2, 1.2)
 EXPECTATIONS = (
     model.AtMostOnce(),
     model.NotRunIsTrue(),
     model.OwnWholeAnswers(),
     model.EveryCallStated(),
+    model.NoWorkInZone(ZONE_OUT, grace_s=3.0),
     model.ConfigurationInForce(grace_s=4.0),
     model.InstancesEndWell(),
     model.ShareCompleted(least_percent=20.0),
@@ -42,7 +45,8 @@
     return (
         model.StartPlatform(PlatformOptions()),
         model.StartTargets("orders", TARGETS, "sapporo", TargetOptions()),
-        model.StartTargets("menu", TARGETS, "hakodate", TargetOptions()),
+        model.StartTargets("menu", TARGETS // 2, "sapporo", TargetOptions()),
+        model.StartTargets("menu", TARGETS // 2, ZONE_OUT, TargetOptions()),
         model.StartInstances(INSTANCES),
         model.PublishService("orders", "/orders", "required"),
         model.PublishService("menu", "/menu", "none"),
@@ -53,7 +57,11 @@
     instances = [_instance_fault(rng, number) for number in (1, 2)]
     others = [_fault(rng) for _ in range(FAULTS)]
     actions = [*instances, *others, model.StartInstances(1)]
-    return tuple(model.Event(rng.uniform(0.2, LOAD_S - 1), a) for a in actions)
+    zone_out = model.Event(rng.uniform(*ZONE_OUT_AT_S), model.SetZone(ZONE_OUT, "out"))
+    return (
+        zone_out,
+        *(model.Event(rng.uniform(0.2, LOAD_S - 1), action) for action in actions),
+    )
 
 
 def _instance_fault(rng: random.Random, number: int) -> object:
