--- a/packages/baobabring/baobabring/claims/tests/_support.py
+++ b/packages/baobabring/baobabring/claims/tests/_support.py
@@ -2,9 +2,15 @@
 
 import random
 
-from baobabring.claims import ClaimSettings
+from baobabring.claims import (
+    ClaimPending,
+    ClaimSettings,
+    ClaimWon,
+    create_claim_coordinator,
+)
 from baobabring.claims._records import Claim, Record, encode_batch, encode_record
-from baobabring.platform import LogRecord, Page
+from baobabring.model import Answer
+from baobabring.platform import Appended, LogRecord, Page
 
 NOW_S = 1_000_000.0
 SETTINGS = ClaimSettings(
@@ -77,3 +83,49 @@
 def seeded(seed: int = 1) -> random.Random:
     """Return a source of randomness with a fixed seed."""
     return random.Random(seed)
+
+
+KEY = key_at(NOW_S)
+ANSWER = Answer(201, (("Content-Type", "text/plain"),), b"paid")
+
+
+class Instance:
+    """Drive one coordinator over a stream of its own or a shared one."""
+
+    def __init__(self, stream=None, seed=1):
+        self.stream = stream or StreamModel()
+        self.claims = create_claim_coordinator("i1", 1, SETTINGS, seeded(seed))
+
+    def request(self, call_id, key=KEY, now_s=NOW_S, deadline_s=NOW_S + 10, **other):
+        arguments = {"fingerprint": b"f", "tenant": "default"} | other
+        return self.claims.request(
+            call_id,
+            "pay",
+            key,
+            method="POST",
+            path="/payments",
+            deadline_s=deadline_s,
+            now_s=now_s,
+            **arguments,
+        )
+
+    def read(self, now_s=NOW_S):
+        page = self.stream.page(self.claims.next_offset(0))
+        return self.claims.apply_page(0, page, now_s, now_s)
+
+    def append(self, now_s=NOW_S, outcome=None, lands=True):
+        events = []
+        for append in self.claims.append_due(now_s):
+            offset = self.stream.append(append.payload, now_s) if lands else 0
+            result = outcome or Appended(offset)
+            events += self.claims.append_ended(append.append_id, result, now_s)
+        return events
+
+    def put(self, *records, now_s=NOW_S):
+        self.stream.append(payload_of(*records), now_s)
+
+    def win(self, call_id, **request):
+        self.read()
+        assert self.request(call_id, **request) == ClaimPending(call_id)
+        self.append()
+        assert self.read() == [ClaimWon(call_id)]
--- a/packages/baobabring/baobabring/claims/tests/_world.py
+++ b/packages/baobabring/baobabring/claims/tests/_world.py
@@ -1,8 +1,5 @@
 """Several coordinators over one faulty log, with the truth about what ran."""
 
-from dataclasses import dataclass, field
-from enum import Enum
-
 from baobabring.claims import (
     ClaimLost,
     ClaimPending,
@@ -14,6 +11,13 @@
 )
 from baobabring.claims._records import Settled, Settlement
 from baobabring.claims._table import KeyState
+from baobabring.claims.tests._models import (
+    AppendFate,
+    CallModel,
+    End,
+    InstanceModel,
+    Run,
+)
 from baobabring.claims.tests._support import (
     NOW_S,
     SETTINGS,
@@ -27,7 +31,6 @@
     Appended,
     AppendRefused,
     AppendUnconfirmed,
-    Page,
     ReadFailed,
 )
 
@@ -35,60 +38,6 @@
 CLOCK_OFFSETS_S = (0.0, 0.25, -0.25)
 
 
-class AppendFate(Enum):
-    """Say what happens to an append and to its answer."""
-
-    CONFIRMED = "confirmed"
-    REFUSED = "refused"
-    ANSWER_LOST = "answer-lost"
-    LOST = "lost"
-    DELAYED = "delayed"
-
-
-class End(Enum):
-    """Say how a dispatched call ends."""
-
-    RESULT = "result"
-    SHED = "shed"
-    UNDETERMINED = "undetermined"
-    CALLER_LEFT = "caller-left"
-
-
-@dataclass(slots=True)
-class CallModel:
-    """Hold what is true about one call."""
-
-    call_id: str
-    key: str
-    fingerprint: bytes
-    deadline_s: float
-    ended: bool = False
-    won: bool = False
-    dispatched: bool = False
-
-
-@dataclass(slots=True)
-class Run:
-    """Hold one run of a request at a target."""
-
-    fingerprint: bytes
-    body: bytes
-
-
-@dataclass(slots=True)
-class InstanceModel:
-    """Hold one instance; its clock is off by a constant."""
-
-    number: int
-    clock_offset_s: float
-    claims: object = None
-    calls: dict[str, CallModel] = field(default_factory=dict)
-    ended_calls: list[CallModel] = field(default_factory=list)
-    read: tuple[Page, float] | None = None
-    settlement_ids: list[bytes] = field(default_factory=list)
-    paused: bool = False
-
-
 class World:
     """Run instances step by step and check each step against the truth."""
 
--- a/packages/baobabring/baobabring/claims/tests/test_coordinator.py
+++ b/packages/baobabring/baobabring/claims/tests/test_coordinator.py
@@ -12,75 +12,22 @@
     ClaimUnknown,
     ClaimWon,
     KeptAnswer,
-    NotSettleable,
-    NotSettleableReason,
-    Settlement,
-    SettlementState,
     create_claim_coordinator,
     partition_of,
 )
 from baobabring.claims._records import Release, Result, decode_batch
 from baobabring.claims.tests._support import (
+    ANSWER,
+    KEY,
     NOW_S,
     SETTINGS,
+    Instance,
     StreamModel,
     claim_of,
     key_at,
-    payload_of,
     seeded,
 )
 from baobabring.model import Answer, Reason
-from baobabring.platform import (
-    Appended,
-    AppendRefused,
-    AppendUnconfirmed,
-    ReadFailed,
-)
-
-KEY = key_at(NOW_S)
-ANSWER = Answer(201, (("Content-Type", "text/plain"),), b"paid")
-
-
-class Instance:
-    """Drive one coordinator over a stream of its own or a shared one."""
-
-    def __init__(self, stream=None, seed=1):
-        self.stream = stream or StreamModel()
-        self.claims = create_claim_coordinator("i1", 1, SETTINGS, seeded(seed))
-
-    def request(self, call_id, key=KEY, now_s=NOW_S, deadline_s=NOW_S + 10, **other):
-        arguments = {"fingerprint": b"f", "tenant": "default"} | other
-        return self.claims.request(
-            call_id,
-            "pay",
-            key,
-            method="POST",
-            path="/payments",
-            deadline_s=deadline_s,
-            now_s=now_s,
-            **arguments,
-        )
-
-    def read(self, now_s=NOW_S):
-        page = self.stream.page(self.claims.next_offset(0))
-        return self.claims.apply_page(0, page, now_s, now_s)
-
-    def append(self, now_s=NOW_S, outcome=None, lands=True):
-        events = []
-        for append in self.claims.append_due(now_s):
-            offset = self.stream.append(append.payload, now_s) if lands else 0
-            result = outcome or Appended(offset)
-            events += self.claims.append_ended(append.append_id, result, now_s)
-        return events
-
-    def put(self, *records, now_s=NOW_S):
-        self.stream.append(payload_of(*records), now_s)
-
-    def win(self, call_id, **request):
-        self.read()
-        assert self.request(call_id, **request) == ClaimPending(call_id)
-        self.append()
-        assert self.read() == [ClaimWon(call_id)]
 
 
 @pytest.fixture
@@ -238,135 +185,6 @@
     assert reply == ClaimRefused("a", Reason.KEY_INVALID, NOW_S)
 
 
-def test_log_that_can_not_be_read_refuses_at_once(instance):
-    instance.read()
-    instance.claims.apply_page(0, ReadFailed("timeout"), NOW_S, NOW_S + 2.1)
-    reply = instance.request("a", now_s=NOW_S + 2.1)
-    assert reply == ClaimRefused("a", Reason.LOG_UNAVAILABLE, NOW_S + 2.6)
-
-
-def test_log_that_takes_no_appends_refuses_at_once(instance):
-    instance.read()
-    instance.request("a")
-    instance.append(outcome=AppendUnconfirmed(), lands=False)
-    page = instance.stream.page(0)
-    instance.claims.apply_page(0, page, NOW_S - 1, NOW_S + 2.1)
-    reply = instance.request("b", now_s=NOW_S + 2.1)
-    assert reply == ClaimRefused("b", Reason.LOG_UNAVAILABLE, NOW_S + 2.6)
-
-
-def test_log_that_refuses_past_the_deadline_ends_the_call(instance):
-    instance.read()
-    instance.request("a")
-    events = instance.append(outcome=AppendRefused(NOW_S + 30), lands=False)
-    refused = ClaimRefused("a", Reason.LOG_UNAVAILABLE, NOW_S + 30)
-    assert events == [refused]
-    assert instance.request("b") == dataclasses.replace(refused, call_id="b")
-
-
-def test_log_is_tried_again_once_nothing_waits(instance):
-    instance.read()
-    instance.request("a")
-    instance.append(outcome=AppendRefused(NOW_S + 1), lands=False)
-    instance.claims.cancel("a", NOW_S + 3)
-    instance.read(NOW_S + 3)
-    instance.append(NOW_S + 3)
-    assert instance.request("b", now_s=NOW_S + 3) == ClaimPending("b")
-
-
-def test_next_append_waits_for_the_log(instance):
-    next_append_at_s = instance.claims.next_append_at_s
-    instance.request("a")
-    assert next_append_at_s(NOW_S) is None
-    instance.read()
-    assert next_append_at_s(NOW_S) == NOW_S
-    instance.append(outcome=AppendRefused(NOW_S + 1), lands=False)
-    assert next_append_at_s(NOW_S) == NOW_S + 1
-
-
-def test_instance_is_idle_once_its_records_are_in_the_log(instance):
-    instance.win("a")
-    instance.claims.finish_result("a", ANSWER, NOW_S)
-    assert not instance.claims.idle
-    instance.append()
-    assert instance.claims.idle
-
-
-def test_cancelled_claim_that_may_be_in_the_log_is_released(instance):
-    instance.read()
-    instance.request("a")
-    instance.append(outcome=AppendUnconfirmed())
-    instance.claims.cancel("a", NOW_S)
-    assert instance.read() == []
-    instance.append()
-    instance.read()
-    assert instance.claims.unknown_outcomes(NOW_S + 100) == []
-
-
-def test_cancelled_call_that_was_dispatched_is_undetermined(instance):
-    instance.win("a")
-    assert instance.claims.may_dispatch("a", NOW_S)
-    instance.claims.cancel("a", NOW_S)
-    instance.append()
-    instance.read()
-    assert [outcome.key for outcome in instance.claims.unknown_outcomes(NOW_S)] == [KEY]
-
-
-def test_claim_without_result_becomes_an_unknown_outcome(instance):
-    instance.put(claim_of(KEY, b"1"))
-    instance.read()
-    assert instance.claims.unknown_outcomes(NOW_S + 11) == []
-    (outcome,) = instance.claims.unknown_outcomes(NOW_S + 11.1)
-    assert (outcome.key, outcome.method) == (KEY, "POST")
-
-
-def test_settlement_not_run_frees_the_key(instance):
-    instance.put(claim_of(KEY, b"1"))
-    instance.read()
-    settle = instance.claims.settle
-    early = settle("pay", KEY, Settlement.NOT_RUN, NOW_S + 12)
-    assert early == NotSettleable(NotSettleableReason.MAY_STILL_RUN)
-    requested = settle("pay", KEY.upper(), Settlement.NOT_RUN, NOW_S + 12.1)
-    state = instance.claims.settlement_state
-    assert state(requested.settlement_id) is SettlementState.REQUESTED
-    instance.append(NOW_S + 12.1)
-    instance.read(NOW_S + 12.1)
-    assert state(requested.settlement_id) is SettlementState.ACCEPTED
-    later = {"now_s": NOW_S + 13, "deadline_s": NOW_S + 20}
-    assert instance.request("b", **later) == ClaimPending("b")
-
-
-def test_races_of_settlements_end_with_one_accepted():
-    stream = StreamModel()
-    stream.append(payload_of(claim_of(KEY, b"1")), NOW_S)
-    both = [Instance(stream, seed=1), Instance(stream, seed=2)]
-    for instance in both:
-        instance.read()
-    wanted = [Settlement.RAN, Settlement.NOT_RUN]
-    requested = [
-        instance.claims.settle("pay", KEY, settlement, NOW_S + 20)
-        for instance, settlement in zip(both, wanted, strict=True)
-    ]
-    for instance in both:
-        instance.append(NOW_S + 20)
-    for instance in both:
-        instance.read(NOW_S + 20)
-    states = [
-        instance.claims.settlement_state(request.settlement_id)
-        for instance, request in zip(both, requested, strict=True)
-    ]
-    assert states == [SettlementState.ACCEPTED, SettlementState.REJECTED]
-
-
-def test_known_outcome_is_not_settleable(instance):
-    instance.win("a")
-    instance.claims.finish_result("a", ANSWER, NOW_S)
-    instance.append()
-    instance.read()
-    reply = instance.claims.settle("pay", KEY, Settlement.RAN, NOW_S + 100)
-    assert reply == NotSettleable(NotSettleableReason.OUTCOME_KNOWN)
-
-
 def test_keys_of_each_partition_go_to_its_stream():
     claims = create_claim_coordinator("i1", 4, SETTINGS, seeded())
     for partition in range(4):
--- a/packages/baobabring/baobabring/claims/tests/test_failures.py
+++ b/packages/baobabring/baobabring/claims/tests/test_failures.py
@@ -3,10 +3,9 @@
 import pytest
 
 from baobabring.claims._records import Settlement
-from baobabring.claims.tests._support import NOW_S, key_at
-from baobabring.claims.tests._world import AppendFate, World
-
-KEY = key_at(NOW_S)
+from baobabring.claims.tests._models import AppendFate
+from baobabring.claims.tests._support import KEY
+from baobabring.claims.tests._world import World
 
 
 @pytest.fixture
--- a/packages/baobabring/baobabring/claims/tests/test_histories.py
+++ b/packages/baobabring/baobabring/claims/tests/test_histories.py
@@ -11,8 +11,9 @@
 )
 
 from baobabring.claims._records import Settlement
+from baobabring.claims.tests._models import AppendFate, CallModel, End
 from baobabring.claims.tests._support import key_at
-from baobabring.claims.tests._world import AppendFate, CallModel, End, World
+from baobabring.claims.tests._world import World
 
 INSTANCES = st.integers(0, 2)
 FATES = st.sampled_from([AppendFate.CONFIRMED, *AppendFate])
--- /dev/null
+++ b/packages/baobabring/baobabring/claims/tests/test_partition.py
@@ -0,0 +1,91 @@
+"""Test one partition whose log fails."""
+
+import dataclasses
+
+import pytest
+
+from baobabring.claims import (
+    ClaimPending,
+    ClaimRefused,
+)
+from baobabring.claims.tests._support import (
+    ANSWER,
+    NOW_S,
+    Instance,
+)
+from baobabring.model import Reason
+from baobabring.platform import (
+    AppendRefused,
+    AppendUnconfirmed,
+    ReadFailed,
+)
+
+
+@pytest.fixture
+def instance():
+    return Instance()
+
+
+def test_log_that_can_not_be_read_refuses_at_once(instance):
+    instance.read()
+    instance.claims.apply_page(0, ReadFailed("timeout"), NOW_S, NOW_S + 2.1)
+    reply = instance.request("a", now_s=NOW_S + 2.1)
+    assert reply == ClaimRefused("a", Reason.LOG_UNAVAILABLE, NOW_S + 2.6)
+
+
+def test_log_that_takes_no_appends_refuses_at_once(instance):
+    instance.read()
+    instance.request("a")
+    instance.append(outcome=AppendUnconfirmed(), lands=False)
+    page = instance.stream.page(0)
+    instance.claims.apply_page(0, page, NOW_S - 1, NOW_S + 2.1)
+    reply = instance.request("b", now_s=NOW_S + 2.1)
+    assert reply == ClaimRefused("b", Reason.LOG_UNAVAILABLE, NOW_S + 2.6)
+
+
+def test_log_that_refuses_past_the_deadline_ends_the_call(instance):
+    instance.read()
+    instance.request("a")
+    events = instance.append(outcome=AppendRefused(NOW_S + 30), lands=False)
+    refused = ClaimRefused("a", Reason.LOG_UNAVAILABLE, NOW_S + 30)
+    assert events == [refused]
+    assert instance.request("b") == dataclasses.replace(refused, call_id="b")
+
+
+def test_log_is_tried_again_once_nothing_waits(instance):
+    instance.read()
+    instance.request("a")
+    instance.append(outcome=AppendRefused(NOW_S + 1), lands=False)
+    instance.claims.cancel("a", NOW_S + 3)
+    instance.read(NOW_S + 3)
+    instance.append(NOW_S + 3)
+    assert instance.request("b", now_s=NOW_S + 3) == ClaimPending("b")
+
+
+def test_next_append_waits_for_the_log(instance):
+    next_append_at_s = instance.claims.next_append_at_s
+    instance.request("a")
+    assert next_append_at_s(NOW_S) is None
+    instance.read()
+    assert next_append_at_s(NOW_S) == NOW_S
+    instance.append(outcome=AppendRefused(NOW_S + 1), lands=False)
+    assert next_append_at_s(NOW_S) == NOW_S + 1
+
+
+def test_instance_is_idle_once_its_records_are_in_the_log(instance):
+    instance.win("a")
+    instance.claims.finish_result("a", ANSWER, NOW_S)
+    assert not instance.claims.idle
+    instance.append()
+    assert instance.claims.idle
+
+
+def test_cancelled_claim_that_may_be_in_the_log_is_released(instance):
+    instance.read()
+    instance.request("a")
+    instance.append(outcome=AppendUnconfirmed())
+    instance.claims.cancel("a", NOW_S)
+    assert instance.read() == []
+    instance.append()
+    instance.read()
+    assert instance.claims.unknown_outcomes(NOW_S + 100) == []
--- /dev/null
+++ b/packages/baobabring/baobabring/claims/tests/test_settlements.py
@@ -0,0 +1,89 @@
+"""Test unknown outcomes and their settlement."""
+
+import pytest
+
+from baobabring.claims import (
+    ClaimPending,
+    NotSettleable,
+    NotSettleableReason,
+    Settlement,
+    SettlementState,
+)
+from baobabring.claims.tests._support import (
+    ANSWER,
+    KEY,
+    NOW_S,
+    Instance,
+    StreamModel,
+    claim_of,
+    payload_of,
+)
+
+
+@pytest.fixture
+def instance():
+    return Instance()
+
+
+def test_cancelled_call_that_was_dispatched_is_undetermined(instance):
+    instance.win("a")
+    assert instance.claims.may_dispatch("a", NOW_S)
+    instance.claims.cancel("a", NOW_S)
+    instance.append()
+    instance.read()
+    assert [outcome.key for outcome in instance.claims.unknown_outcomes(NOW_S)] == [KEY]
+
+
+def test_claim_without_result_becomes_an_unknown_outcome(instance):
+    instance.put(claim_of(KEY, b"1"))
+    instance.read()
+    assert instance.claims.unknown_outcomes(NOW_S + 11) == []
+    (outcome,) = instance.claims.unknown_outcomes(NOW_S + 11.1)
+    assert (outcome.key, outcome.method) == (KEY, "POST")
+
+
+def test_settlement_not_run_frees_the_key(instance):
+    instance.put(claim_of(KEY, b"1"))
+    instance.read()
+    settle = instance.claims.settle
+    early = settle("pay", KEY, Settlement.NOT_RUN, NOW_S + 12)
+    assert early == NotSettleable(NotSettleableReason.MAY_STILL_RUN)
+    requested = settle("pay", KEY.upper(), Settlement.NOT_RUN, NOW_S + 12.1)
+    state = instance.claims.settlement_state
+    assert state(requested.settlement_id) is SettlementState.REQUESTED
+    instance.append(NOW_S + 12.1)
+    instance.read(NOW_S + 12.1)
+    assert state(requested.settlement_id) is SettlementState.ACCEPTED
+    later = {"now_s": NOW_S + 13, "deadline_s": NOW_S + 20}
+    assert instance.request("b", **later) == ClaimPending("b")
+
+
+def test_races_of_settlements_end_with_one_accepted():
+    stream = StreamModel()
+    stream.append(payload_of(claim_of(KEY, b"1")), NOW_S)
+    both = [Instance(stream, seed=1), Instance(stream, seed=2)]
+    for instance in both:
+        instance.read()
+    wanted = [Settlement.RAN, Settlement.NOT_RUN]
+    requested = [
+        instance.claims.settle("pay", KEY, settlement, NOW_S + 20)
+        for instance, settlement in zip(both, wanted, strict=True)
+    ]
+    for instance in both:
+        instance.append(NOW_S + 20)
+    for instance in both:
+        instance.read(NOW_S + 20)
+    states = [
+        instance.claims.settlement_state(request.settlement_id)
+        for instance, request in zip(both, requested, strict=True)
+    ]
+    assert states == [SettlementState.ACCEPTED, SettlementState.REJECTED]
+
+
+def test_known_outcome_is_not_settleable(instance):
+    instance.win("a")
+    instance.claims.finish_result("a", ANSWER, NOW_S)
+    instance.append()
+    instance.read()
+    reply = instance.claims.settle("pay", KEY, Settlement.RAN, NOW_S + 100)
+    assert reply == NotSettleable(NotSettleableReason.OUTCOME_KNOWN)
--- a/packages/baobabring/baobabring/claims/tests/test_table.py
+++ b/packages/baobabring/baobabring/claims/tests/test_table.py
@@ -17,6 +17,7 @@
     Verdict,
 )
 from baobabring.claims.tests._support import (
+    KEY,
     NOW_S,
     SETTINGS,
     StreamModel,
@@ -25,7 +26,6 @@
     payload_of,
 )
 
-KEY = key_at(NOW_S)
 KEY_ID = ("pay", KEY)
 
 
