Claims: let a failing history end within the time limit of a test

With a release by any claim freeing the key (a trial on a scratch copy), the histories failed by pytest's limit of 120 s in hypothesis' explain phase, reported as inconsistent data generation. Ruled out: state that differs between runs, as the report ends in the time limit itself.

--- a/packages/baobabring/baobabring/claims/tests/test_histories.py
+++ b/packages/baobabring/baobabring/claims/tests/test_histories.py
@@ -1,6 +1,6 @@
 """Test random histories of several coordinators over one faulty log."""
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -181,6 +181,8 @@
             stateful_step_count=40,
             derandomize=True,
             deadline=None,
+            phases=[Phase.generate, Phase.shrink],
+            report_multiple_bugs=False,
             suppress_health_check=list(HealthCheck),
             database=None,
         ),
