--- a/packages/baobabring/baobabring/claims/_settings.py
+++ b/packages/baobabring/baobabring/claims/_settings.py
@@ -31,7 +31,7 @@
         """Raise ValueError on a value out of range."""
         for field in fields(self):
             value = getattr(self, field.name)
-            if value <= 0:
+            if value <= 0 and field.name != "body_limit_bytes":
                 raise ValueError(f"{field.name} must be positive, got {value!r}")
         if self.unresolved_window_s < self.window_s:
             raise ValueError(
@@ -42,9 +42,9 @@
             raise ValueError(
                 f"burst_appends must be at least 1, got {self.burst_appends!r}"
             )
-        if self.body_limit_bytes > self.batch_limit_bytes:
+        if not 0 <= self.body_limit_bytes <= self.batch_limit_bytes:
             raise ValueError(
-                f"body_limit_bytes must be at most batch_limit_bytes="
+                f"body_limit_bytes must be from 0 to batch_limit_bytes="
                 f"{self.batch_limit_bytes!r}, got {self.body_limit_bytes!r}"
             )
         if self.settlement_margin_s < self.clock_skew_s:
--- a/packages/baobabring/baobabring/claims/tests/test_coordinator.py
+++ b/packages/baobabring/baobabring/claims/tests/test_coordinator.py
@@ -185,6 +185,13 @@
     assert reply == ClaimRefused("a", Reason.KEY_INVALID, NOW_S)
 
 
+def test_no_body_at_all_may_be_kept():
+    settings = dataclasses.replace(SETTINGS, body_limit_bytes=0)
+    settings.check()
+    with pytest.raises(ValueError, match="body_limit_bytes must be from 0 to"):
+        dataclasses.replace(SETTINGS, body_limit_bytes=-1).check()
+
+
 def test_keys_of_each_partition_go_to_its_stream():
     claims = create_claim_coordinator("i1", 4, SETTINGS, seeded())
     for partition in range(4):
