--- a/benchmarks/balancing_choice.py
+++ b/benchmarks/balancing_choice.py
@@ -14,6 +14,7 @@
     InFlightUpdate,
     TargetCount,
     create_balancer,
+    decode_update,
     encode_update,
     target_key,
 )
@@ -108,8 +109,37 @@
     return median(choice_us), median(attempt_us)
 
 
-def _microseconds_each(started: float) -> float:
-    return 1e6 * (time.perf_counter() - started) / CHOICES_PER_ROUND
+def time_sharing(balancer: Balancer, target_count: int) -> tuple[float, float]:
+    """Return microseconds to build an update, and to take one in, encoding too."""
+    now_s = 20_000.0
+    outgoing_us = []
+    apply_us = []
+    for round_number in range(100, 100 + ROUNDS):
+        payloads = [
+            encode_update(update)
+            for number in range(CHOICES_PER_ROUND // PEERS)
+            for update in peers_updates(
+                target_count, 1_000 * round_number + number, now_s
+            )
+        ]
+        started = time.perf_counter()
+        for payload in payloads:
+            balancer.sharing.apply(decode_update(payload), now_s)
+        apply_us.append(_microseconds_each(started, len(payloads)))
+        elapsed = 0.0
+        for number in range(CHOICES_PER_ROUND):
+            now_s += 0.05
+            balancer.attempt_started(f"target-{number % target_count}", now_s)
+            started = time.perf_counter()
+            encode_update(balancer.sharing.outgoing(now_s))
+            elapsed += time.perf_counter() - started
+            balancer.attempt_ended(f"target-{number % target_count}", None, now_s)
+        outgoing_us.append(1e6 * elapsed / CHOICES_PER_ROUND)
+    return median(outgoing_us), median(apply_us)
+
+
+def _microseconds_each(started: float, count: int = CHOICES_PER_ROUND) -> float:
+    return 1e6 * (time.perf_counter() - started) / count
 
 
 def update_sizes() -> list[tuple[int, int]]:
@@ -139,6 +169,10 @@
     header = ("policy", "targets", "of the service", "choice us", "with attempt us")
     print(tabulate(rows, header, floatfmt=".1f"))
     print()
+    balancer = make_balancer(26, 12, "shared")
+    header = ("build an update us", "take one in us")
+    print(tabulate([time_sharing(balancer, 26)], header, floatfmt=".1f"))
+    print()
     print(tabulate(update_sizes(), ("counts", "bytes of an update")))
 
 
