--- a/scenarios/test_strangers.py
+++ b/scenarios/test_strangers.py
@@ -1,9 +1,20 @@
 """Send an instance what strangers send and check that it keeps its state."""
 
 import asyncio
+import contextlib
 
 import aiohttp
+import pytest
 import zmq
+from baobabring.membership import Heartbeat
+from baobabring.peers import (
+    PeerMessage,
+    StateReply,
+    StateRequest,
+    encode_message,
+)
+from baobabring.platform import InstanceState
+from baobabring.probing import SharedProbe
 from baobabstandins.fleet import (
     Fleet,
     HistoryCaller,
@@ -14,6 +25,7 @@
     put_service,
 )
 
+SERVED_WITHIN_S = 20.0
 STREAMS = ("config", "cold-leases", "claims-0", "claims-1", "claims-2", "claims-3")
 BAD_RECORDS = (b"", b"\xc1", b"garbage", b"\x92\x01\x02", b"\xff" * 4096)
 BAD_FRAMES = (b"", b"\x01", b"\xff\x01", b"\x01\xff", b"\x01\x01\xc1", b"\x01\x02\x90")
@@ -74,3 +86,51 @@
         assert ended.count("completed") == len(calls)
         assert all(member.child.running for member in fleet.instances)
         await operator.wait_in_force(revision)
+
+
+def strange_messages() -> list[PeerMessage]:
+    """Return messages in the right form that say what no instance says."""
+    heartbeat = Heartbeat(
+        sender="stranger",
+        zone="sapporo",
+        peer_address="nowhere",
+        sequence=1,
+        sent_at_s=0.0,
+        state=InstanceState.LIVE,
+        revision=0,
+        config_offset=0,
+        confirmed_at_s=0.0,
+    )
+    return [
+        StateRequest("stranger", "nowhere"),
+        StateReply("stranger", b"\xc1", b"\xc1"),
+        SharedProbe("no-target", float("nan"), True),
+        heartbeat,
+    ]
+
+
+@pytest.mark.parametrize("message", strange_messages(), ids=lambda m: type(m).__name__)
+async def test_strange_message_ends_nobody(tmp_path, message):
+    async with Fleet(tmp_path) as fleet:
+        await fleet.start_platform(PlatformOptions())
+        targets = await fleet.start_targets("orders", 2, "sapporo", TargetOptions())
+        await fleet.start_instances(2, "sapporo")
+        operator = Operator(fleet.rotation)
+        change = put_service("orders", "/orders", "required", 1, targets)
+        await operator.wait_in_force(await operator.publish(change))
+        for member in fleet.instances:
+            with zmq.Context() as context, context.socket(zmq.PUSH) as socket:
+                socket.linger = 1_000
+                socket.connect(f"tcp://{member.peer_address}")
+                socket.send(encode_message(message))
+        # What comes later is served as ever.
+        async with HistoryCaller(fleet.rotation, seed=1) as caller:
+            calls = [make_call("/orders", idempotent=False) for _ in range(40)]
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SERVED_WITHIN_S):
+                    for call in calls:
+                        await caller.call(call, repeats=2)
+            ended = [getattr(event, "outcome", None) for event in caller.history]
+        fallen = [m.child.log_text() for m in fleet.instances if not m.child.running]
+        assert fallen == []
+        assert ended.count("completed") == len(calls)
