Test refusals of hopeless waits, kept answers, slow bodies and last answers

Four lines could be broken without any test noticing: the refusal of waiting calls that can't make their deadlines (calls/_engine.py, tick), the body of a kept answer (calls/_state.py, replay_answer), the limit on the time of a body and the end of connections while an instance leaves (both callers/_app.py).

--- a/packages/baobabring/baobabring/callers/tests/test_app.py
+++ b/packages/baobabring/baobabring/callers/tests/test_app.py
@@ -222,3 +222,23 @@
 @pytest.mark.parametrize("path", ["/healthz", "/readyz", "/metrics"])
 async def test_own_paths_answer(path):
     assert (await ask(FakeHandler(), get(path))).startswith(b"HTTP/1.1 200")
+
+
+async def test_body_that_comes_too_slowly_never_becomes_a_call(monkeypatch):
+    monkeypatch.setattr("baobabring.callers._app.BODY_TIMEOUT_S", 0.05)
+    handler = FakeHandler(Completed(ANSWER))
+    head = b"POST /menu/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+    async with serving(handler) as port:
+        answer = await send(port, head + b"Content-Length: 9\r\n\r\nhalf")
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert b"baobab-outcome: not-run" in answer.lower()
+    assert handler.calls == []
+
+
+async def test_instance_that_leaves_closes_connections_after_their_answers():
+    handler = FakeHandler(Completed(ANSWER))
+    handler.leaving = lambda: True
+    async with serving(handler) as port:
+        # Without "Connection: close" in the request, only the answer can end it.
+        answer = await send(port, b"GET /menu/1 HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert answer.endswith(b"lunch")
--- a/packages/baobabring/baobabring/calls/tests/test_engine.py
+++ b/packages/baobabring/baobabring/calls/tests/test_engine.py
@@ -3,6 +3,7 @@
 import pytest
 
 from baobabring.calls.tests.fakes import FAILED, OK, Bench, HedgeAt
+from baobabring.claims import ClaimReplayed, KeptAnswer
 from baobabring.model import (
     Completed,
     KeyRule,
@@ -175,3 +176,29 @@
         bench.end(str(number), 0, LOST)
         bench.end(str(number), 1, LOST)
     assert len(bench.started) == 6
+
+
+def test_waiting_call_that_cannot_make_its_deadline_is_refused_before():
+    bench = Bench(targets=1)
+    slots = bench.balancer.usable_capacity("menu", bench.now_s)
+    for number in range(int(slots)):
+        bench.arrive(f"running-{number}")
+    bench.step(0.1)
+    bench.end("running-0", 0, OK)
+    bench.arrive("last")
+    bench.arrive("waiting", lasts_s=1.0)
+    assert bench.outcome("waiting") is None
+    bench.step(0.95)
+    assert bench.outcome("waiting").reason is Reason.OVERLOAD
+
+
+@pytest.mark.parametrize(("kept", "whole"), [(b"ok", True), (None, False)])
+def test_repeated_call_gets_the_kept_answer(kept, whole):
+    bench = Bench()
+    event = ClaimReplayed("a", KeptAnswer(200, (), kept, None))
+    bench.claims.request = lambda **_: event
+    bench.arrive("a", KeyRule.REQUIRED, "key")
+    outcome = bench.outcome("a")
+    assert outcome.answer.body == (kept or b"")
+    assert (outcome.replayed, outcome.body_kept) == (True, whole)
+    assert bench.started == []
