Ask the peer that is ahead although others lag too

Cause: a heartbeat of any peer that was not ahead reset the time since which this instance had been behind, so with several lagging peers it might never ask. Found by reading. Before: test_peer_ahead_is_asked_although_others_are_behind_too failed. After: 3 of 3 tests pass.

--- a/packages/baobabring/baobabring/program/_parts.py
+++ b/packages/baobabring/baobabring/program/_parts.py
@@ -124,7 +124,10 @@
     claims: ClaimCoordinator,
     rng: random.Random,
 ) -> CallEngine:
-    admission = AdmissionSettings(tenant_limit=settings.admission.waiting_per_tenant)
+    admission = AdmissionSettings(
+        tenant_limit=settings.admission.waiting_per_tenant,
+        wait_limit_s=settings.admission.wait_limit_ms / MS_PER_S,
+    )
     return CallEngine(
         balancer=balancer,
         queue=create_admission_queue(settings.admission.queue, admission, rng),
--- a/packages/baobabring/baobabring/program/_state_exchange.py
+++ b/packages/baobabring/baobabring/program/_state_exchange.py
@@ -39,6 +39,7 @@
         self.clock = clock
         self._behind_since_s: float | None = None
         self._asked_at_s = 0.0
+        self._highest_offset = 0
         self._asks_left_for_records = ASKS_FOR_RECORDS
         self._started = False
         link.subscribe(StateRequest, self._asked)
@@ -67,8 +68,11 @@
             self._ask(heartbeat.peer_address)
 
     def _is_behind(self, heartbeat: Heartbeat, now_s: float) -> bool:
-        if heartbeat.config_offset <= self.reader.fold.next_offset:
+        next_offset = self.reader.fold.next_offset
+        self._highest_offset = max(self._highest_offset, heartbeat.config_offset)
+        if self._highest_offset <= next_offset:
             self._behind_since_s = None
+        if heartbeat.config_offset <= next_offset:
             return False
         if self._behind_since_s is None:
             self._behind_since_s = now_s
