Bound how long a call may wait for a slot

Cause: calls waited until their deadlines made a start hopeless, so under overload every call that was answered had waited for seconds. A queue only has to keep the slots busy: the wait is bounded at 500 ms by a setting, and the call is refused then with the time to come back. After: not measured yet.

--- a/benchmarks/fleet_tail.py
+++ b/benchmarks/fleet_tail.py
@@ -47,7 +47,8 @@
     "random,round-robin,least-in-flight,two-choices,two-choices-peak,hot-cold,"
     "shared,single",
     "Policies to compare, each with settings of [balancing] if need be, as in "
-    "shared:oversubscription=1.5; `single` is `shared` on one instance.",
+    "shared:oversubscription=1.5, or of another section, as in "
+    "shared:admission.wait_limit_ms=3000; `single` is `shared` on one instance.",
 )
 flags.DEFINE_list("loads", "50,70,85,95,120", "Loads in percent of capacity.")
 flags.DEFINE_integer("rounds", 3, "How often each case is measured.")
@@ -98,9 +99,13 @@
 async def start_instances(fleet: Fleet, case: str) -> list[InstanceMember]:
     """Start the instances of one case."""
     name, *settings = case.split(":")
-    section = {"policy": "shared" if name == SINGLE else name}
-    section |= dict(setting.split("=") for setting in settings)
-    fleet.extra_settings = {"balancing": section}
+    policy = "shared" if name == SINGLE else name
+    sections = {"balancing": {"policy": policy}, "admission": {}}
+    for setting in settings:
+        key, _, value = setting.partition("=")
+        section, _, key = key.rpartition(".")
+        sections[section or "balancing"][key] = value
+    fleet.extra_settings = sections
     count = 1 if name == SINGLE else FLAGS.instances
     return [
         await fleet.start_instance(ZONES[number % len(ZONES)])
--- a/packages/baobabring/baobabring/admission/_base.py
+++ b/packages/baobabring/baobabring/admission/_base.py
@@ -3,6 +3,7 @@
 import heapq
 import random
 from abc import ABC, abstractmethod
+from collections import deque
 from dataclasses import dataclass
 
 from baobabring.admission._estimates import ServiceEstimates
@@ -36,12 +37,13 @@
     default_service_ms: float = 20.0
     default_capacity: int = 1
     estimate_lifetime_s: float = 2.0
+    wait_limit_s: float = 30.0
 
     def __post_init__(self) -> None:
         for name in ("tenant_limit", "service_limit", "default_capacity"):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name} must be >= 1, got {getattr(self, name)}")
-        for name in ("default_service_ms", "estimate_lifetime_s"):
+        for name in ("default_service_ms", "estimate_lifetime_s", "wait_limit_s"):
             if not getattr(self, name) > 0:
                 raise ValueError(f"{name} must be > 0, got {getattr(self, name)}")
 
@@ -107,6 +109,7 @@
         self._calls: dict[str, Waiting] = {}
         self._deadlines: dict[str, list[tuple[float, str]]] = {}
         self._timed: set[str] = set()
+        self._arrivals: deque[tuple[float, str]] = deque()
         self._given_up: list[str] = []
 
     @abstractmethod
@@ -152,6 +155,7 @@
         offered = self._admit(waiting, now_s)
         if isinstance(offered, Queued):
             self._remember(waiting)
+            self._arrivals.append((waiting.enqueued_at_s, waiting.call_id))
         return offered
 
     def take(self, service_id: str, now_s: float) -> str | None:
@@ -179,7 +183,7 @@
         return True
 
     def expire(self, now_s: float) -> list[str]:
-        """Remove and return the calls that cannot make their deadlines any more."""
+        """Remove and return the calls that waited too long or are too late."""
         expired = self._given_up
         self._given_up = []
         for service_id, deadlines in list(self._deadlines.items()):
@@ -191,6 +195,16 @@
                     expired.append(call_id)
             if not deadlines:
                 del self._deadlines[service_id]
+        expired += self._waited_too_long(now_s)
+        return expired
+
+    def _waited_too_long(self, now_s: float) -> list[str]:
+        earliest_s = now_s - self.settings.wait_limit_s
+        expired = []
+        while self._arrivals and self._arrivals[0][0] < earliest_s:
+            _, call_id = self._arrivals.popleft()
+            if self.remove(call_id):
+                expired.append(call_id)
         return expired
 
     def retry_at_s(self, service_id: str, now_s: float) -> float:
--- a/packages/baobabring/baobabring/admission/tests/test_fair.py
+++ b/packages/baobabring/baobabring/admission/tests/test_fair.py
@@ -223,3 +223,20 @@
     waiting -= set(expired)
     assert queue.backlog("menu") == len(waiting)
     assert set(queue.expire(now_s + 99)) == waiting
+
+
+def test_call_that_waited_too_long_is_given_up():
+    queue = make_queue(wait_limit_s=0.5)
+    offer_many(queue, "a", 2)
+    assert queue.expire(NOW_S + 0.4) == []
+    assert queue.expire(NOW_S + 0.6) == ["a0", "a1"]
+    assert queue.backlog("menu") == 0
+
+
+def test_call_that_was_put_back_keeps_the_time_it_has_waited():
+    queue = make_queue(wait_limit_s=0.5)
+    call = make_call("a0")
+    queue.offer(call, NOW_S)
+    queue.take("menu", NOW_S + 0.4)
+    queue.put_back(call)
+    assert queue.expire(NOW_S + 0.6) == ["a0"]
--- a/packages/baobabring/baobabring/calls/_engine.py
+++ b/packages/baobabring/baobabring/calls/_engine.py
@@ -192,7 +192,7 @@
                 return
             state = self._calls[call_id]
             if not self._start_attempt(state, now_s):
-                self.queue.put_back(describe_waiting(state.call))
+                self.queue.put_back(state.waiting)
                 return
 
     def _timer_fired(self, state: CallState, now_s: float) -> None:
@@ -259,7 +259,8 @@
         if not self.balancer.has_targets(state.call.service_id):
             self._refuse(state, Reason.NO_TARGET, now_s)
             return
-        outcome = self.queue.offer(describe_waiting(state.call), now_s)
+        state.waiting = describe_waiting(state.call, now_s)
+        outcome = self.queue.offer(state.waiting, now_s)
         if isinstance(outcome, Refused):
             not_run = NotRun(Reason.OVERLOAD, outcome.retry_at_s)
             self._finish(state, not_run, now_s)
--- a/packages/baobabring/baobabring/calls/_state.py
+++ b/packages/baobabring/baobabring/calls/_state.py
@@ -48,6 +48,7 @@
     running: dict[int, RunningAttempt] = field(default_factory=dict)
     last_answered: Answered | None = None
     last_lost: Lost | None = None
+    waiting: Waiting | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -55,8 +56,8 @@
         return self.last_answered is not None or self.last_lost is not None
 
 
-def describe_waiting(call: Call) -> Waiting:
-    """Return what the queue has to know of a call."""
+def describe_waiting(call: Call, now_s: float) -> Waiting:
+    """Return what the queue has to know of a call that begins to wait."""
     return Waiting(
         call_id=call.call_id,
         service_id=call.service_id,
@@ -64,7 +65,7 @@
         request_class=call.rule.request_class,
         priority=call.rule.priority,
         deadline_s=call.deadline_s,
-        enqueued_at_s=call.arrived_at_s,
+        enqueued_at_s=now_s,
     )
 
 
--- a/packages/baobabring/baobabring/settings/_models.py
+++ b/packages/baobabring/baobabring/settings/_models.py
@@ -86,6 +86,7 @@
 
     queue: str = "fair"
     waiting_per_tenant: Count = 256
+    wait_limit_ms: Count = 500
 
 
 class RetriesSection(Section):
