Fail strangers' tests on errors that nothing handled, too

A state request with a reply address that is none raises in the reader of the peers' socket; the instance stays up, but the rest of what it was to read waits.

--- a/scenarios/test_strangers.py
+++ b/scenarios/test_strangers.py
@@ -38,6 +38,16 @@
 )
 
 
+def problems(fleet: Fleet) -> list[str]:
+    """Return the logs of instances that ended or that an error took by surprise."""
+    logs = {m.instance_id: m.child.log_text() for m in fleet.instances}
+    return [
+        logs[member.instance_id]
+        for member in fleet.instances
+        if not member.child.running or "Traceback" in logs[member.instance_id]
+    ]
+
+
 async def append_bad_records(address: str) -> None:
     async with aiohttp.ClientSession() as session:
         for stream in STREAMS:
@@ -84,7 +94,7 @@
             await asyncio.gather(*(caller.call(call, repeats=2) for call in calls))
             ended = [getattr(event, "outcome", None) for event in caller.history]
         assert ended.count("completed") == len(calls)
-        assert all(member.child.running for member in fleet.instances)
+        assert problems(fleet) == []
         await operator.wait_in_force(revision)
 
 
@@ -131,6 +141,5 @@
                     for call in calls:
                         await caller.call(call, repeats=2)
             ended = [getattr(event, "outcome", None) for event in caller.history]
-        fallen = [m.child.log_text() for m in fleet.instances if not m.child.running]
-        assert fallen == []
+        assert problems(fleet) == []
         assert ended.count("completed") == len(calls)
