--- /dev/null
+++ b/scenarios/test_leave_lag.py
@@ -0,0 +1,40 @@
+"""Go on sending to an instance that leaves, as a balancer that lags does."""
+
+import time
+
+from baobabstandins.fleet import (
+    Fleet,
+    HistoryCaller,
+    Operator,
+    PlatformOptions,
+    TargetOptions,
+    make_call,
+    put_service,
+)
+
+LAG_MS = 2_000
+SENT_ON_FOR_S = 1.2
+
+
+async def test_instance_that_leaves_serves_what_a_late_balancer_sends(tmp_path):
+    settings = {"callers": {"leave_lag_ms": str(LAG_MS)}}
+    async with Fleet(tmp_path, settings) as fleet:
+        await fleet.start_platform(PlatformOptions())
+        targets = await fleet.start_targets("menu", 2, "sapporo", TargetOptions())
+        await fleet.start_instances(1, "sapporo")
+        operator = Operator(fleet.rotation)
+        change = put_service("menu", "/menu", "none", 1, targets)
+        await operator.wait_in_force(await operator.publish(change))
+        leaving = fleet.instances[0]
+        async with HistoryCaller(lambda: [leaving], seed=1) as caller:
+            fleet.terminate(leaving)
+            until_s = time.monotonic() + SENT_ON_FOR_S
+            count = 0
+            while time.monotonic() < until_s:
+                await caller.call(make_call("/menu", idempotent=True), repeats=0)
+                count += 1
+            ended = [getattr(event, "outcome", None) for event in caller.history]
+        assert not await fleet.is_ready(leaving)
+        await leaving.child.wait_end()
+        assert ended.count("completed") == count
+        assert leaving.child.process.returncode == 0
