--- a/benchmarks/fleet_tail.py
+++ b/benchmarks/fleet_tail.py
@@ -100,11 +100,11 @@
     """Start the instances of one case."""
     name, *settings = case.split(":")
     policy = "shared" if name == SINGLE else name
-    sections = {"balancing": {"policy": policy}, "admission": {}}
+    sections = {"balancing": {"policy": policy}}
     for setting in settings:
         key, _, value = setting.partition("=")
         section, _, key = key.rpartition(".")
-        sections[section or "balancing"][key] = value
+        sections.setdefault(section or "balancing", {})[key] = value
     fleet.extra_settings = sections
     count = 1 if name == SINGLE else FLAGS.instances
     return [
