Keep back headers that a caller or target names in Connection

Before: test_own_headers_go_on_and_those_of_the_connection_do_not failed with the header X-Hop passed on. After: the tests of the client pass.

--- a/packages/baobabring/baobabring/targets/_client.py
+++ b/packages/baobabring/baobabring/targets/_client.py
@@ -1,6 +1,7 @@
 """HTTP client that carries one attempt of a call to a target."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Collection
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -33,6 +34,9 @@
 REQUEST_ID_HEADER = "Baobab-Request-Id"
 TENANT_HEADER = "Baobab-Tenant"
 
+CONNECTION_HEADER = "connection"
+Header = tuple[str, str]
+
 # Headers that concern one connection only, or that we set ourselves.
 NOT_FORWARDED = frozenset(
     {
@@ -190,9 +194,7 @@
                 return Lost(Reason.ANSWER_TOO_LARGE)
         # The library's names are of a class of its own, which no codec knows.
         headers = tuple(
-            (str(name), value)
-            for name, value in response.headers.items()
-            if name.lower() not in NOT_FORWARDED
+            (str(name), value) for name, value in _forwarded(response.headers.items())
         )
         answer = Answer(response.status, headers, body)
         return Answered(answer, report, first_byte_ms)
@@ -216,12 +218,23 @@
         await self.unpooled.close()
 
 
-def _headers_to_target(plan: AttemptPlan, left_s: float) -> CIMultiDict[str]:
-    headers = CIMultiDict(
+def _forwarded(headers: Collection[Header]) -> list[Header]:
+    """Return the headers that don't concern one connection only."""
+    hops = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == CONNECTION_HEADER
+        for token in value.split(",")
+    }
+    return [
         (name, value)
-        for name, value in plan.call.headers
-        if name.lower() not in NOT_FORWARDED
-    )
+        for name, value in headers
+        if name.lower() not in NOT_FORWARDED and name.lower() not in hops
+    ]
+
+
+def _headers_to_target(plan: AttemptPlan, left_s: float) -> CIMultiDict[str]:
+    headers = CIMultiDict(_forwarded(plan.call.headers))
     headers[DEADLINE_HEADER] = str(int(left_s * MS_PER_S))
     headers[DEADLINE_AT_HEADER] = str(int(plan.deadline_s * MS_PER_S))
     headers[RETRIES_HEADER] = str(plan.retries_left)
--- a/packages/baobabring/baobabring/targets/tests/test_client.py
+++ b/packages/baobabring/baobabring/targets/tests/test_client.py
@@ -44,7 +44,12 @@
     clock = Clock()
     client = create_target_client(4, ANSWER_LIMIT_BYTES, clock)
     now_s = clock.now_s()
-    headers = (("Connection", "close"), ("X-Own", "1"), ("Baobab-Tenant", "forged"))
+    headers = (
+        ("Connection", "close, X-Hop"),
+        ("X-Hop", "hidden"),
+        ("X-Own", "1"),
+        ("Baobab-Tenant", "forged"),
+    )
     call = Call(
         "c1", "s", RULE, "t", method, "/a%20b?x=1", headers, b"", None, 0, 2, now_s
     )
@@ -77,6 +82,7 @@
     assert b"X-Own: 1" in heard[0]
     assert b"Baobab-Tenant: t\r\n" in heard[0]
     assert b"forged" not in heard[0]
+    assert b"hidden" not in heard[0]
 
 
 @pytest.mark.parametrize(
