--- a/packages/baobabring/baobabring/targets/tests/test_client.py
+++ b/packages/baobabring/baobabring/targets/tests/test_client.py
@@ -63,7 +63,8 @@
 async def test_whole_answer_is_returned_with_its_load_report():
     reply = (
         b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Kind: a\r\n"
-        b"Baobab-Load: in_flight=1;slots=2;cold=0;draining=0\r\n\r\nok"
+        b"Baobab-Load: in_flight=1;slots=2;cold=0;draining=0\r\n"
+        b"Baobab-Outcome: unknown\r\n\r\nok"
     )
     async with raw_target(reply) as (address, heard):
         outcome = await attempt(address)
