--- a/packages/baobabring/baobabring/targets/_client.py
+++ b/packages/baobabring/baobabring/targets/_client.py
@@ -35,6 +35,8 @@
 TENANT_HEADER = "Baobab-Tenant"
 
 CONNECTION_HEADER = "connection"
+# What the fleet tells of an answer must not be mistaken for what a target says.
+OWN_PREFIX = "baobab-"
 Header = tuple[str, str]
 
 # Headers that concern one connection only, or that we set ourselves.
@@ -194,7 +196,9 @@
                 return Lost(Reason.ANSWER_TOO_LARGE)
         # The library's names are of a class of its own, which no codec knows.
         headers = tuple(
-            (str(name), value) for name, value in _forwarded(response.headers.items())
+            (str(name), value)
+            for name, value in _forwarded(response.headers.items())
+            if not name.lower().startswith(OWN_PREFIX)
         )
         answer = Answer(response.status, headers, body)
         return Answered(answer, report, first_byte_ms)
