--- /dev/null
+++ b/scenarios/test_leave_with_results.py
@@ -0,0 +1,46 @@
+"""Let an instance leave while the log refuses the result of its last call."""
+
+import asyncio
+
+from baobabstandins.fleet import (
+    Fleet,
+    HistoryCaller,
+    Operator,
+    PlatformOptions,
+    TargetOptions,
+    make_call,
+    put_service,
+)
+
+LOG_DELAY_MS = 1_000
+REFUSED_FOR_S = 2.0
+DEADLINE_MS = 9_000
+
+
+async def test_instance_that_leaves_records_its_last_results(tmp_path):
+    async with Fleet(tmp_path, {"callers": {"leave_lag_ms": "0"}}) as fleet:
+        await fleet.start_platform(PlatformOptions())
+        targets = await fleet.start_targets("orders", 1, "sapporo", TargetOptions())
+        await fleet.start_instances(2, "sapporo")
+        operator = Operator(fleet.rotation)
+        change = put_service("orders", "/orders", "required", 1, targets)
+        await operator.wait_in_force(await operator.publish(change))
+        platform = fleet.platform.address
+        leaving, staying = fleet.instances
+        call = make_call("/orders", idempotent=False, deadline_ms=DEADLINE_MS)
+        members = [leaving]
+        async with HistoryCaller(lambda: members, seed=1) as caller:
+            await fleet.put_faults(platform, {"delay_ms": LOG_DELAY_MS})
+            await caller.call(call, repeats=0)
+            # The result is on its way to the log, which now refuses it.
+            await fleet.put_faults(platform, {"outage": True})
+            fleet.terminate(leaving)
+            # By then the log has refused the append that was on its way, too.
+            await asyncio.sleep(REFUSED_FOR_S)
+            await fleet.put_faults(platform, {"outage": False, "delay_ms": 0})
+            await leaving.child.wait_end()
+            members[:] = [staying]
+            await caller.call(call, repeats=0)
+            ended = [event for event in caller.history if hasattr(event, "outcome")]
+        assert [event.outcome for event in ended] == ["completed", "completed"]
+        assert ended[0].answer_digest == ended[1].answer_digest
