Drop frames to what is no address, and call no service unknown before any is known

Cause: an address that a peer sends was handed to the socket unchecked, and the error ended the task of heartbeats, and with it the instance; the reader of the socket stopped in the middle of its messages for the same reason. The other fault: an instance that knew no configuration yet answered no-service, which is final to callers.

--- a/packages/baobabring/baobabring/callers/_app.py
+++ b/packages/baobabring/baobabring/callers/_app.py
@@ -43,6 +43,10 @@
     def now_s(self) -> float:
         """Return the time by which calls are measured."""
 
+    @abstractmethod
+    def knows_services(self) -> bool:
+        """Tell whether a service that isn't known here doesn't exist."""
+
     @abstractmethod
     def leaving(self) -> bool:
         """Tell whether this instance is shutting down."""
@@ -90,7 +94,11 @@
         if isinstance(body, BadCall):
             return body
         router = self.handler.router()
-        return build_call(request, body, router, call_id, self.handler.now_s())
+        call = build_call(request, body, router, call_id, self.handler.now_s())
+        unknown_here = isinstance(call, BadCall) and call.reason is Reason.NO_SERVICE
+        if unknown_here and not self.handler.knows_services():
+            return BadCall(Reason.NOT_CONFIRMED, "no configuration is known yet")
+        return call
 
     async def _wait(
         self,
--- a/packages/baobabring/baobabring/callers/tests/test_app.py
+++ b/packages/baobabring/baobabring/callers/tests/test_app.py
@@ -32,6 +32,7 @@
         self.outcome = outcome
         self.calls: list[Call] = []
         self.left: list[str] = []
+        self.services_known = True
 
     def router(self) -> Router:
         """Return a router that knows one service."""
@@ -61,6 +62,10 @@
         """Return True."""
         return True
 
+    def knows_services(self) -> bool:
+        """Return what the test has set."""
+        return self.services_known
+
     def leaving(self) -> bool:
         """Return False."""
         return False
@@ -181,6 +186,15 @@
     assert handler.calls == []
 
 
+async def test_unknown_service_is_not_final_while_no_configuration_is_known():
+    handler = FakeHandler()
+    handler.services_known = False
+    answer = (await ask(handler, get("/other"))).lower()
+    assert answer.startswith(b"http/1.1 503")
+    assert b"baobab-reason: configuration-not-confirmed" in answer
+    assert b"retry-after" in answer
+
+
 async def test_garbage_is_refused():
     handler = FakeHandler()
     assert (await ask(handler, b"garbage\r\n\r\n")).startswith(b"HTTP/1.1 400")
--- a/packages/baobabring/baobabring/calls/_engine.py
+++ b/packages/baobabring/baobabring/calls/_engine.py
@@ -85,6 +85,11 @@
         self._timers = CallTimers()
         self._commands: list[Command] = []
 
+    @property
+    def may_start_work(self) -> bool:
+        """Tell whether new work is allowed."""
+        return self._may_start_work
+
     @property
     def calls_in_progress(self) -> int:
         """Return how many calls have no final answer yet."""
--- a/packages/baobabring/baobabring/peers/_transport.py
+++ b/packages/baobabring/baobabring/peers/_transport.py
@@ -114,12 +114,11 @@
 
     def send(self, address: str, frame: bytes) -> bool:
         """Send without waiting; return False when the frame was dropped."""
-        socket = self._sending.get(address)
-        if socket is None:
-            socket = self._connect(address)
         try:
+            socket = self._sending.get(address) or self._connect(address)
             socket.send(frame, zmq.NOBLOCK)
-        except zmq.Again:
+        except zmq.ZMQError:
+            # Full, or not an address at all, which a peer may have sent us.
             return False
         return True
 
@@ -134,7 +133,11 @@
             socket.curve_serverkey = self.keys.public
             socket.curve_publickey = self.keys.public
             socket.curve_secretkey = self.keys.secret
-        socket.connect(f"tcp://{address}")
+        try:
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            socket.close()
+            raise
         self._sending[address] = socket
         return socket
 
--- a/packages/baobabring/baobabring/peers/tests/test_transport.py
+++ b/packages/baobabring/baobabring/peers/tests/test_transport.py
@@ -68,3 +68,10 @@
     assert await send_until_heard(friend, address, frames)
     friend.close()
     hearing.close()
+
+
+async def test_what_is_no_address_is_dropped():
+    sender = create_peer_transport(free_address(), None)
+    assert not sender.send("nowhere", b"x")
+    assert not sender.send("", b"x")
+    sender.close()
--- a/packages/baobabring/baobabring/program/_dispatcher.py
+++ b/packages/baobabring/baobabring/program/_dispatcher.py
@@ -118,6 +118,10 @@
         self._ready = False
         self._leaving = True
 
+    def knows_services(self) -> bool:
+        """Tell whether a service that isn't known here doesn't exist."""
+        return self.engine.may_start_work
+
     def leaving(self) -> bool:
         """Tell whether this instance is shutting down."""
         return self._leaving
