Give a target's id to one service only, and drop counts of peers that have gone

Cause: calls in flight, ejections and cold starts are kept by the id of a target, so two services with a target of the same id would have shared them unnoticed. One older test used such an id for its valid service; it takes another one now. The node hands the live instances to the balancer, not to its guard of cold starts alone, so that the counts of peers that have gone are dropped.

--- a/packages/baobabring/baobabring/configuration/_validation.py
+++ b/packages/baobabring/baobabring/configuration/_validation.py
@@ -45,6 +45,8 @@
         case PutTarget(service_id=service_id, target=target):
             yield from _known_service_findings(configuration, service_id)
             yield from _target_findings("target", target)
+            if service_id in configuration.services:
+                yield from _owner_findings(configuration, service_id, "target", target)
             yield from _other_target_findings(configuration, service_id, target)
         case RemoveTarget(service_id=service_id, target_id=target_id):
             yield from _known_target_findings(configuration, service_id, target_id)
@@ -63,7 +65,9 @@
     for index, rule in enumerate(service.rules):
         yield from _rule_findings(f"service.rules[{index}]", rule)
     for index, target in enumerate(service.targets):
-        yield from _target_findings(f"service.targets[{index}]", target)
+        place = f"service.targets[{index}]"
+        yield from _target_findings(place, target)
+        yield from _owner_findings(configuration, service.service_id, place, target)
     yield from _repeated_findings(service, "target_id")
     yield from _repeated_findings(service, "address")
 
@@ -104,6 +108,18 @@
     yield from _range_findings(f"{place}.slots", target.slots, 1, MAX_SLOTS)
 
 
+def _owner_findings(
+    configuration: Configuration, service_id: str, place: str, target: Target
+) -> Iterator[Finding]:
+    # Calls in flight, ejections and cold starts are kept by the id of a target.
+    for other in configuration.services.values():
+        if other.service_id == service_id:
+            continue
+        if any(target.target_id == taken.target_id for taken in other.targets):
+            problem = f"{target.target_id!r} belongs to service {other.service_id!r}"
+            yield Finding(f"{place}.target_id", problem)
+
+
 def _repeated_findings(service: Service, field: str) -> Iterator[Finding]:
     first_places: dict[str, str] = {}
     for index, target in enumerate(service.targets):
--- a/packages/baobabring/baobabring/program/_node.py
+++ b/packages/baobabring/baobabring/program/_node.py
@@ -162,7 +162,7 @@
         now_s = parts.clock.now_s()
         live = parts.membership.live()
         fleet_size = parts.membership.membership.fleet_size(now_s)
-        parts.balancer.cold_start.set_live(live)
+        parts.balancer.set_live(live)
         parts.claims.set_live_instances(fleet_size, now_s)
         parts.probe_task.scheduler.set_instances(live, fleet_size, now_s)
         parts.dispatcher.share_capacity(len(live))
