--- a/benchmarks/fleet_load.py
+++ b/benchmarks/fleet_load.py
@@ -109,6 +109,16 @@
     histogram.record_value(min(max(microseconds, LOWEST_US), HIGHEST_US))
 
 
+async def start_spread(
+    fleet: Fleet, count: int, zones: tuple[str, ...]
+) -> list[InstanceMember]:
+    """Start instances, spread over the zones and those of a zone at once."""
+    before = len(fleet.instances)
+    for number, zone in enumerate(zones):
+        await fleet.start_instances(len(range(number, count, len(zones))), zone)
+    return fleet.instances[before:]
+
+
 @dataclass(frozen=True, slots=True)
 class Slowdown:
     """Slow a target down by a factor from `start_s` on, counted from the start."""
--- a/benchmarks/fleet_tail.py
+++ b/benchmarks/fleet_tail.py
@@ -36,6 +36,7 @@
     plan_slowdowns,
     run_load,
     run_slowdowns,
+    start_spread,
     write_line,
 )
 from prometheus_client.parser import text_string_to_metric_families
@@ -107,10 +108,7 @@
         sections.setdefault(section or "balancing", {})[key] = value
     fleet.extra_settings = sections
     count = 1 if name == SINGLE else FLAGS.instances
-    return [
-        await fleet.start_instance(ZONES[number % len(ZONES)])
-        for number in range(count)
-    ]
+    return await start_spread(fleet, count, ZONES)
 
 
 async def stop_instances(fleet: Fleet, members: list[InstanceMember]) -> None:
--- a/benchmarks/fleet_zone_move.py
+++ b/benchmarks/fleet_zone_move.py
@@ -21,7 +21,7 @@
     put_service,
     set_zone_state,
 )
-from fleet_load import Load, LoadResult, run_load, write_line
+from fleet_load import Load, LoadResult, run_load, start_spread, write_line
 from tabulate import tabulate
 
 FLAGS = flags.FLAGS
@@ -60,8 +60,7 @@
         targets += await fleet.start_targets(
             zone, FLAGS.targets_per_zone, zone, options
         )
-    for number in range(FLAGS.instances):
-        await fleet.start_instance(ZONES[number % len(ZONES)])
+    await start_spread(fleet, FLAGS.instances, ZONES)
     operator = Operator(fleet.rotation)
     await operator.publish(put_service("menu", "/menu", "none", 1, targets))
     await asyncio.sleep(SETTLE_S)
