--- a/packages/baobabstandins/baobabstandins/scenarios/_expectations.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_expectations.py
@@ -4,7 +4,7 @@
 
 from baobabstandins import checker
 from baobabstandins.checker import Finding, TargetRecord
-from baobabstandins.scenarios import _model as model
+from baobabstandins.scenarios import _promises as promises
 from baobabstandins.scenarios._run import Absence, Run
 from baobabstandins.target import JournalEntry
 
@@ -16,53 +16,53 @@
 
 
 @check.register
-def _(expectation: model.AtMostOnce, run: Run) -> list[Finding]:
+def _(expectation: promises.AtMostOnce, run: Run) -> list[Finding]:
     return checker.check_runs_at_most_once(_entries(run))
 
 
 @check.register
-def _(expectation: model.NotRunIsTrue, run: Run) -> list[Finding]:
+def _(expectation: promises.NotRunIsTrue, run: Run) -> list[Finding]:
     return checker.check_not_run_is_true(run.caller.history, _entries(run))
 
 
 @check.register
-def _(expectation: model.OwnWholeAnswers, run: Run) -> list[Finding]:
+def _(expectation: promises.OwnWholeAnswers, run: Run) -> list[Finding]:
     return checker.check_own_whole_answers(run.caller.history)
 
 
 @check.register
-def _(expectation: model.EveryCallStated, run: Run) -> list[Finding]:
+def _(expectation: promises.EveryCallStated, run: Run) -> list[Finding]:
     return checker.check_every_call_stated(run.caller.history)
 
 
 @check.register
-def _(expectation: model.NoCallCutOff, run: Run) -> list[Finding]:
+def _(expectation: promises.NoCallCutOff, run: Run) -> list[Finding]:
     disturbed = (m.instance_id for m in run.fleet.instances if m.disturbed)
     return checker.check_no_call_cut_off(run.caller.history, frozenset(disturbed))
 
 
 @check.register
-def _(expectation: model.ShareCompleted, run: Run) -> list[Finding]:
+def _(expectation: promises.ShareCompleted, run: Run) -> list[Finding]:
     share = expectation.least_percent / 100
     return checker.check_share_completed(run.caller.history, share)
 
 
 @check.register
-def _(expectation: model.NoWorkInZone, run: Run) -> list[Finding]:
+def _(expectation: promises.NoWorkInZone, run: Run) -> list[Finding]:
     records = [record for record in run.records if record.zone == expectation.zone]
     absence = run.zones[expectation.zone]
     return _check_absence(records, absence, expectation.grace_s)
 
 
 @check.register
-def _(expectation: model.NoWorkAtTarget, run: Run) -> list[Finding]:
+def _(expectation: promises.NoWorkAtTarget, run: Run) -> list[Finding]:
     absence = run.targets_left[expectation.target_id]
     record = _record(run, expectation.target_id)
     return _check_absence([record], absence, expectation.grace_s)
 
 
 @check.register
-def _(expectation: model.WorkAtTarget, run: Run) -> list[Finding]:
+def _(expectation: promises.WorkAtTarget, run: Run) -> list[Finding]:
     entries = _record(run, expectation.target_id).entries
     if any(entry.started_at_s > run.last_event_at_s for entry in entries):
         return []
@@ -71,7 +71,7 @@
 
 
 @check.register
-def _(expectation: model.ColdLimitKept, run: Run) -> list[Finding]:
+def _(expectation: promises.ColdLimitKept, run: Run) -> list[Finding]:
     findings = []
     for record in run.records:
         turned_cold_at_s = run.turned_cold_at_s.get(record.target_id, 0.0)
@@ -82,7 +82,7 @@
 
 
 @check.register
-def _(expectation: model.ProbeBudget, run: Run) -> list[Finding]:
+def _(expectation: promises.ProbeBudget, run: Run) -> list[Finding]:
     duration_s = run.ended_at_s - run.published_at_s
     return checker.check_probe_budget(
         run.records, duration_s, expectation.budget_ms_per_s
@@ -90,7 +90,7 @@
 
 
 @check.register
-def _(expectation: model.ConfigurationInForce, run: Run) -> list[Finding]:
+def _(expectation: promises.ConfigurationInForce, run: Run) -> list[Finding]:
     seen = run.operator.seen
     accepted = run.operator.accepted
     return [
@@ -101,7 +101,7 @@
 
 
 @check.register
-def _(expectation: model.ReadyWithin, run: Run) -> list[Finding]:
+def _(expectation: promises.ReadyWithin, run: Run) -> list[Finding]:
     member = run.instance(expectation.number)
     took_s = member.ready_at_s - member.started_at_s
     if 0 < took_s <= expectation.limit_s:
@@ -111,7 +111,7 @@
 
 
 @check.register
-def _(expectation: model.InstancesEndWell, run: Run) -> list[Finding]:
+def _(expectation: promises.InstancesEndWell, run: Run) -> list[Finding]:
     codes = {m.instance_id: m.child.process.returncode for m in run.terminated}
     return [
         Finding("instances end well", instance_id, f"exit code {code}")
--- a/packages/baobabstandins/baobabstandins/scenarios/_generator.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_generator.py
@@ -4,6 +4,7 @@
 
 from baobabstandins.fleet import PlatformOptions, TargetOptions
 from baobabstandins.scenarios import _model as model
+from baobabstandins.scenarios import _promises as promises
 
 INSTANCES = 4
 TARGETS = 4
@@ -13,14 +14,14 @@
 ZONE_OUT = "hakodate"
 ZONE_OUT_AT_S = (0.2, 1.2)
 EXPECTATIONS = (
-    model.AtMostOnce(),
-    model.NotRunIsTrue(),
-    model.OwnWholeAnswers(),
-    model.EveryCallStated(),
-    model.NoWorkInZone(ZONE_OUT, grace_s=3.0),
-    model.ConfigurationInForce(grace_s=4.0),
-    model.InstancesEndWell(),
-    model.ShareCompleted(least_percent=20.0),
+    promises.AtMostOnce(),
+    promises.NotRunIsTrue(),
+    promises.OwnWholeAnswers(),
+    promises.EveryCallStated(),
+    promises.NoWorkInZone(ZONE_OUT, grace_s=3.0),
+    promises.ConfigurationInForce(grace_s=4.0),
+    promises.InstancesEndWell(),
+    promises.ShareCompleted(least_percent=20.0),
 )
 
 
--- a/packages/baobabstandins/baobabstandins/scenarios/_parser.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/_parser.py
@@ -7,7 +7,9 @@
 
 from baobabstandins.fleet import PlatformOptions, TargetOptions
 from baobabstandins.scenarios import _model as model
-from baobabstandins.scenarios._model import EXPECTATIONS, SETUP
+from baobabstandins.scenarios import _promises as promises
+from baobabstandins.scenarios._model import SETUP
+from baobabstandins.scenarios._promises import EXPECTATIONS
 
 MS_PER_S = 1000
 
@@ -156,20 +158,20 @@
     turn_cold = model.TurnCold
 
     expectation = _identity
-    at_most_once = model.AtMostOnce
-    not_run_is_true = model.NotRunIsTrue
-    own_whole_answers = model.OwnWholeAnswers
-    every_call_stated = model.EveryCallStated
-    no_call_cut_off = model.NoCallCutOff
-    share_completed = model.ShareCompleted
-    no_work_in_zone = model.NoWorkInZone
-    no_work_at_target = model.NoWorkAtTarget
-    work_at_target = model.WorkAtTarget
-    cold_limit_kept = model.ColdLimitKept
-    probe_budget = model.ProbeBudget
-    configuration_in_force = model.ConfigurationInForce
-    ready_within = model.ReadyWithin
-    instances_end_well = model.InstancesEndWell
+    at_most_once = promises.AtMostOnce
+    not_run_is_true = promises.NotRunIsTrue
+    own_whole_answers = promises.OwnWholeAnswers
+    every_call_stated = promises.EveryCallStated
+    no_call_cut_off = promises.NoCallCutOff
+    share_completed = promises.ShareCompleted
+    no_work_in_zone = promises.NoWorkInZone
+    no_work_at_target = promises.NoWorkAtTarget
+    work_at_target = promises.WorkAtTarget
+    cold_limit_kept = promises.ColdLimitKept
+    probe_budget = promises.ProbeBudget
+    configuration_in_force = promises.ConfigurationInForce
+    ready_within = promises.ReadyWithin
+    instances_end_well = promises.InstancesEndWell
 
 
 def _only(statements, kind):
--- a/packages/baobabstandins/baobabstandins/scenarios/tests/test_parser.py
+++ b/packages/baobabstandins/baobabstandins/scenarios/tests/test_parser.py
@@ -3,6 +3,7 @@
 
 from baobabstandins.fleet import PlatformOptions, TargetOptions
 from baobabstandins.scenarios import _model as model
+from baobabstandins.scenarios import _promises as promises
 from baobabstandins.scenarios import parse_scenario
 
 TEXT = """
@@ -41,7 +42,7 @@
             model.Event(1.0, model.KillInstance(2)),
             model.Event(2.5, model.LoseAnswers(3)),
         ),
-        expectations=(model.AtMostOnce(), model.NoWorkInZone("sapporo", 3.0)),
+        expectations=(promises.AtMostOnce(), promises.NoWorkInZone("sapporo", 3.0)),
     )
 
 
