Follow the system's clock forwards, and probe only targets that may take work

Cause: the monotonic clock doesn't count a suspension of the machine, so an instance that was suspended held its deadlines for not yet passed and could have started work that an operator had settled as not run. Targets that drain are not probed, and are looked at first when they are active again, as those of a zone that was out already were.

--- a/packages/baobabring/baobabring/calls/_engine.py
+++ b/packages/baobabring/baobabring/calls/_engine.py
@@ -144,7 +144,6 @@
         state = self._calls.get(call_id)
         if state is None:
             return
-        state.caller_left = True
         if state.dispatched and not state.call.rule.idempotent:
             return
         if state.dispatched:
--- a/packages/baobabring/baobabring/calls/_state.py
+++ b/packages/baobabring/baobabring/calls/_state.py
@@ -42,7 +42,6 @@
     phase: Phase
     claimed: bool = False
     dispatched: bool = False
-    caller_left: bool = False
     tries: list[str] = field(default_factory=list)
     excluded: frozenset[str] = frozenset()
     running: dict[int, RunningAttempt] = field(default_factory=dict)
--- a/packages/baobabring/baobabring/program/_node.py
+++ b/packages/baobabring/baobabring/program/_node.py
@@ -12,7 +12,7 @@
 
 from baobabring.callers import create_app
 from baobabring.calls import longest_deadline_ms
-from baobabring.model import Configuration
+from baobabring.model import Configuration, TargetState, ZoneState
 from baobabring.operators import create_operators_server, read_certificates
 from baobabring.program._control_plane import NodeControlPlane
 from baobabring.program._metrics import REVISION
@@ -140,7 +140,7 @@
         now_s = parts.clock.now_s()
         parts.balancer.configure(configuration, now_s)
         parts.dispatcher.configure(configuration)
-        parts.probe_task.scheduler.set_targets(_targets_in_use(configuration), now_s)
+        parts.probe_task.scheduler.set_targets(targets_in_use(configuration), now_s)
         REVISION.set(configuration.revision)
 
     async def _tick(self) -> None:
@@ -209,12 +209,14 @@
         await self.parts.session.close()
 
 
-def _targets_in_use(configuration: Configuration) -> list[str]:
+def targets_in_use(configuration: Configuration) -> list[str]:
+    """Return the targets that operators let take new work; only these are probed."""
     return [
         target.target_id
         for service in configuration.services.values()
         for target in service.targets
-        if target.zone not in configuration.zones_out
+        if target.state is TargetState.ACTIVE
+        and configuration.zone_state(target.zone) is ZoneState.IN
     ]
 
 
--- a/packages/baobabring/baobabring/utils/_clock.py
+++ b/packages/baobabring/baobabring/utils/_clock.py
@@ -6,7 +6,8 @@
 class Clock:
     """Tell Unix time in seconds that never goes back.
 
-    Steps of the system's clock after the start are not followed.
+    The system's clock is followed forwards: after a suspension, which the monotonic
+    clock doesn't count, an instance must see that its deadlines have passed.
     """
 
     def __init__(self) -> None:
@@ -14,4 +15,6 @@
 
     def now_s(self) -> float:
         """Return the time now."""
-        return time.monotonic() + self._offset_s
+        running_s = time.monotonic()
+        self._offset_s = max(self._offset_s, time.time() - running_s)
+        return running_s + self._offset_s
