--- a/packages/baobabring/baobabring/program/_claims_task.py
+++ b/packages/baobabring/baobabring/program/_claims_task.py
@@ -3,7 +3,12 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from baobabring.claims import AppendRequest, ClaimCoordinator, ClaimEvent
+from baobabring.claims import (
+    AppendRequest,
+    ClaimCoordinator,
+    ClaimEvent,
+    stream_of,
+)
 from baobabring.platform import EventLog, ReadFailed
 from baobabring.program._metrics import count_append
 from baobabring.utils import Clock
@@ -11,7 +16,6 @@
 READ_WAIT_MS = 1_000
 READ_RETRY_S = 0.1
 APPEND_LIMIT_S = 2.0
-STREAM_PREFIX = "claims-"
 
 EventHandler = Callable[[Iterable[ClaimEvent]], None]
 
@@ -56,7 +60,7 @@
             task.add_done_callback(self._appends.discard)
 
     async def _read(self, partition: int) -> None:
-        stream = f"{STREAM_PREFIX}{partition}"
+        stream = stream_of(partition)
         while True:
             started_at_s = self.clock.now_s()
             offset = self.claims.next_offset(partition)
@@ -69,7 +73,7 @@
                 await asyncio.sleep(READ_RETRY_S)
 
     async def _append(self, request: AppendRequest) -> None:
-        stream = f"{STREAM_PREFIX}{request.partition}"
+        stream = stream_of(request.partition)
         deadline_s = self.clock.now_s() + APPEND_LIMIT_S
         outcome = await self.log.append(stream, request.payload, deadline_s)
         count_append(stream, outcome)
