Serve the users' platform thin: entry program, platform folder, deploy file

The entry kernel (routes, view, choice, admission, cold limit, read schedule) does no input or output; connections carry one exchange at a time; platform/ translates. One instance reads the store for all and passes the view on. Targets are asked for their load on the connection that then carries the call.

Ruled out: an HTTP client library for targets. It takes the next answer on a connection for its own and cannot send a call on the connection that was asked.

--- /dev/null
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -0,0 +1,109 @@
+"""Kernel of an entry instance: routes, view, choice of targets and admission."""
+
+from baobabring.entry._admission import (
+    Admission,
+    AskAgain,
+    Decision,
+    RefuseCall,
+    SendCall,
+)
+from baobabring.entry._choice import ChoiceSettings, Offer, TargetChoice
+from baobabring.entry._cold_limit import ColdLimit
+from baobabring.entry._estimates import WorkEstimates
+from baobabring.entry._messages import (
+    InstanceAlive,
+    TargetFailures,
+    ViewBeat,
+    ViewRequest,
+    ViewState,
+)
+from baobabring.entry._model import (
+    CallerLimits,
+    EntryCall,
+    EntryConfiguration,
+    EntryRoute,
+    EntryService,
+    EntryTarget,
+    LoadReport,
+    WeightedService,
+)
+from baobabring.entry._outcomes import (
+    AttemptAnswered,
+    AttemptEnd,
+    AttemptLost,
+    AttemptNotRun,
+    CallProblem,
+    Delivered,
+    EntryOutcome,
+    NotRun,
+    Rejected,
+    TargetAnswer,
+    Undetermined,
+)
+from baobabring.entry._read_schedule import ReadSchedule
+from baobabring.entry._routes import RouteTable, WeightedTurns
+from baobabring.entry._settings import EntrySettings, FleetLimits
+from baobabring.entry._shared_view import SharedView
+from baobabring.entry._target_book import HealthReport, TargetBook, TargetRecord
+from baobabring.entry._view import (
+    ConfigurationPublished,
+    FleetEvent,
+    FleetView,
+    TargetRegistered,
+    TargetRemoved,
+    ZoneReturned,
+    ZoneTakenOut,
+)
+
+__all__ = [
+    "Admission",
+    "AskAgain",
+    "AttemptAnswered",
+    "AttemptEnd",
+    "AttemptLost",
+    "AttemptNotRun",
+    "CallProblem",
+    "CallerLimits",
+    "ChoiceSettings",
+    "ColdLimit",
+    "ConfigurationPublished",
+    "Decision",
+    "Delivered",
+    "EntryCall",
+    "EntryConfiguration",
+    "EntryOutcome",
+    "EntryRoute",
+    "EntryService",
+    "EntrySettings",
+    "EntryTarget",
+    "FleetEvent",
+    "FleetLimits",
+    "FleetView",
+    "HealthReport",
+    "InstanceAlive",
+    "LoadReport",
+    "NotRun",
+    "Offer",
+    "ReadSchedule",
+    "RefuseCall",
+    "Rejected",
+    "RouteTable",
+    "SendCall",
+    "SharedView",
+    "TargetAnswer",
+    "TargetBook",
+    "TargetChoice",
+    "TargetFailures",
+    "TargetRecord",
+    "TargetRegistered",
+    "TargetRemoved",
+    "Undetermined",
+    "ViewBeat",
+    "ViewRequest",
+    "ViewState",
+    "WeightedService",
+    "WeightedTurns",
+    "WorkEstimates",
+    "ZoneReturned",
+    "ZoneTakenOut",
+]
--- /dev/null
+++ b/packages/baobabring/baobabring/entry/_choice.py
@@ -0,0 +1,169 @@
+"""Choice of the targets to ask and of the one to send a call to."""
+
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from baobabring.entry._cold_limit import ColdLimit
+from baobabring.entry._estimates import WorkEstimates
+from baobabring.entry._model import EntryCall, EntryConfiguration, LoadReport
+from baobabring.entry._target_book import HealthReport, TargetBook, TargetRecord
+
+# Load reports are worth little after the time in which a machine's speed changes.
+REPORT_LIFETIME_S = 0.3
+JITTER_CALLS = 0.5
+REMOTE_ZONE_CALLS = 0.35
+UNKNOWN_OCCUPANCY = 0.5
+# A failed call costs its caller more than a late one.
+FAILURE_COST_GOALS = 1.5
+UNHEALTHY_COST_GOALS = 2.0
+REMOTE_ZONE_COST_MS = 2.0
+# Targets run slower when their last slot is taken.
+LAST_SLOT_FACTOR = 1.15
+
+
+@dataclass(frozen=True, slots=True)
+class ChoiceSettings:
+    """Bound the questions to targets.
+
+    Parameters
+    ----------
+    asked_targets : int
+        Targets asked for their load before a call is sent to one of them.
+    """
+
+    asked_targets: int = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """Hold what one target would make of a call.
+
+    `cost_ms` adds the risk of a failure to the time until the answer, `work_ms`
+    leaves the time in the target's queue out.
+    """
+
+    target_id: str
+    free_slot: bool
+    finish_ms: float
+    work_ms: float
+    cost_ms: float
+
+
+class TargetChoice:
+    """Choose targets by what they say just before a call is sent."""
+
+    def __init__(
+        self,
+        zone: str,
+        settings: ChoiceSettings,
+        book: TargetBook,
+        estimates: WorkEstimates,
+        cold_limit: ColdLimit,
+        rng: Random,
+    ) -> None:
+        self.zone = zone
+        self.settings = settings
+        self.book = book
+        self.estimates = estimates
+        self.cold_limit = cold_limit
+        self.rng = rng
+        self.configuration = EntryConfiguration()
+        self.instances = 1
+
+    def targets_to_ask(
+        self, service_id: str, exclude: Collection[str], now_s: float
+    ) -> list[TargetRecord]:
+        """Return the targets that look best, with some chance for all others."""
+        candidates = [
+            record
+            for record in self.book.usable(service_id)
+            if record.target.target_id not in exclude
+            and self._may_be_sent_to(record, now_s)
+        ]
+        reachable = [r for r in candidates if r.unreachable_until_s <= now_s]
+        ranked = sorted(
+            reachable or candidates, key=lambda record: self._rank(record, now_s)
+        )
+        return ranked[: self.settings.asked_targets]
+
+    def offers(
+        self, call: EntryCall, reports: Sequence[HealthReport], now_s: float
+    ) -> list[Offer]:
+        """Return what the targets that answered would make of a call, best first."""
+        offers = []
+        for report in reports:
+            record = self.book.record(report.target_id)
+            if record is None or not self.book.may_work(report.target_id):
+                continue
+            if self._may_be_sent_to(record, now_s):
+                offers.append(self._offer(call, record, report, now_s))
+        return sorted(offers, key=lambda offer: offer.cost_ms)
+
+    def call_sent(self, target_id: str, now_s: float) -> None:
+        """Account for a call that goes to a target."""
+        record = self.book.record(target_id)
+        if record is None:
+            return
+        record.call_sent(now_s)
+        if record.is_cold(now_s):
+            limit_per_s = self._cold_calls_per_s(record)
+            self.cold_limit.sent(target_id, limit_per_s, now_s)
+
+    def _offer(
+        self,
+        call: EntryCall,
+        record: TargetRecord,
+        report: HealthReport,
+        now_s: float,
+    ) -> Offer:
+        load = report.load or _assumed_load(record)
+        slots = max(1, load.slots)
+        occupied = load.running + load.waiting
+        if record.last_sent_at_s > report.asked_at_s:
+            occupied += 1
+        slowdown = self.estimates.expected_slowdown(call, load.slowdown)
+        work_ms = self.estimates.work_ms(call.route) * slowdown
+        if occupied + 1 >= slots:
+            work_ms *= LAST_SLOT_FACTOR
+        ahead = max(0, occupied + 1 - slots)
+        service_ms = self.estimates.service_work_ms(call.service_id) * slowdown
+        finish_ms = work_ms + ahead * service_ms / slots
+        goal_ms = call.route.latency_goal_ms
+        risk = record.failure_share(self.instances, now_s) * FAILURE_COST_GOALS
+        if not report.healthy:
+            risk += UNHEALTHY_COST_GOALS
+        cost_ms = finish_ms + risk * goal_ms
+        if record.target.zone != self.zone:
+            cost_ms += REMOTE_ZONE_COST_MS
+        return Offer(record.target.target_id, ahead == 0, finish_ms, work_ms, cost_ms)
+
+    def _rank(self, record: TargetRecord, now_s: float) -> float:
+        slots = max(1, record.target.slots)
+        occupancy = UNKNOWN_OCCUPANCY
+        load = record.load
+        if load is not None and now_s - record.load_at_s < REPORT_LIFETIME_S:
+            occupancy = (load.running + load.waiting) / max(1, load.slots)
+            occupancy *= load.slowdown
+        rank = occupancy + record.own_in_flight / slots
+        rank += record.failure_share(self.instances, now_s)
+        if not record.healthy:
+            rank += 1.0
+        if record.target.zone != self.zone:
+            rank += REMOTE_ZONE_CALLS
+        return rank + self.rng.random() * JITTER_CALLS
+
+    def _may_be_sent_to(self, record: TargetRecord, now_s: float) -> bool:
+        if not record.is_cold(now_s):
+            return True
+        limit_per_s = self._cold_calls_per_s(record)
+        return self.cold_limit.may_send(record.target.target_id, limit_per_s, now_s)
+
+    def _cold_calls_per_s(self, record: TargetRecord) -> float:
+        service = self.configuration.services.get(record.target.service_id)
+        return service.cold_calls_per_s if service is not None else 1.0
+
+
+def _assumed_load(record: TargetRecord) -> LoadReport:
+    """Return the load of a target that doesn't tell it."""
+    return LoadReport(record.own_in_flight, 0, record.target.slots)
--- /dev/null
+++ b/packages/baobabring/baobabring/entry/_messages.py
@@ -0,0 +1,55 @@
+"""Messages between entry instances."""
+
+import msgspec
+
+from baobabring.entry._model import EntryConfiguration, EntryTarget
+
+
+class InstanceAlive(msgspec.Struct, array_like=True, frozen=True):
+    """Tell that an instance runs, and where its peers reach it."""
+
+    sender: str
+    address: str
+    leaving: bool = False
+
+
+class ViewBeat(msgspec.Struct, array_like=True, frozen=True):
+    """Tell that the view was confirmed by the store `age_ms` ago.
+
+    `operator_offset` and `target_offset` are where reading goes on. `instances` maps
+    the ids of the instances that live to their addresses.
+    """
+
+    sender: str
+    address: str
+    operator_offset: int
+    target_offset: int
+    age_ms: float
+    digest: int
+    instances: dict[str, str]
+
+
+class ViewState(msgspec.Struct, array_like=True, frozen=True):
+    """Pass on a whole view, as of its offsets."""
+
+    sender: str
+    operator_offset: int
+    target_offset: int
+    age_ms: float
+    configuration: EntryConfiguration
+    targets: list[EntryTarget]
+    zones_out: list[str]
+
+
+class ViewRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Ask a peer for its whole view."""
+
+    sender: str
+    reply_address: str
+
+
+class TargetFailures(msgspec.Struct, array_like=True, frozen=True):
+    """Tell how many calls failed at targets since the last such message."""
+
+    sender: str
+    counts: dict[str, int]
--- /dev/null
+++ b/packages/baobabring/baobabring/entry/_shared_view.py
@@ -0,0 +1,143 @@
+"""View of the fleet that instances share, so that few of them read the store."""
+
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from baobabring.entry._messages import ViewBeat, ViewState
+from baobabring.entry._view import ConfigurationPublished, FleetEvent, FleetView
+
+# A view that nobody has confirmed for this long may have missed an outage.
+STORE_AWAY_S = 2.5
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+class SharedView:
+    """Hold the view with the offsets up to which the store was read for it."""
+
+    def __init__(self, instance_id: str, address: str) -> None:
+        self.instance_id = instance_id
+        self.address = address
+        self.view = FleetView()
+        self.operator_offset = 0
+        self.target_offset = 0
+        self.confirmed_at_s: float | None = None
+        self.version = 0
+        self._digest: tuple[int, int] = (-1, 0)
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether a configuration and the targets are known."""
+        known = self.confirmed_at_s is not None
+        return known and self.view.configuration.version > 0
+
+    def store_was_away(self, now_s: float) -> bool:
+        """Tell whether the store was out of reach until now."""
+        if self.confirmed_at_s is None:
+            return False
+        return now_s - self.confirmed_at_s > STORE_AWAY_S
+
+    def apply(self, events: Iterable[FleetEvent], now_s: float) -> bool:
+        """Take in events in the order of their records; return whether any counts."""
+        away = self.store_was_away(now_s)
+        changed = False
+        for event in events:
+            changed |= self.view.apply(event, away, now_s)
+        self._count(changed)
+        return changed
+
+    def replace_targets(self, targets, now_s: float) -> bool:
+        """Take in all registrations that there are."""
+        away = self.store_was_away(now_s)
+        changed = self.view.replace_targets(targets, away, now_s)
+        self._count(changed)
+        return changed
+
+    def replace_zones_out(self, zones: Iterable[str]) -> bool:
+        """Take in all availability zones that are out."""
+        changed = self.view.replace_zones_out(zones)
+        self._count(changed)
+        return changed
+
+    def confirm(self, at_s: float) -> None:
+        """Record that the store was read at a time."""
+        self.confirmed_at_s = max(at_s, self.confirmed_at_s or at_s)
+
+    def tick(self, now_s: float) -> bool:
+        """Drop targets that are due to go; return whether any went."""
+        changed = self.view.tick(now_s)
+        self._count(changed)
+        return changed
+
+    def digest(self) -> int:
+        """Return a hash that two instances with the same view share."""
+        if self._digest[0] != self.version:
+            fields = _encoder.encode(self.view.digest_fields())
+            self._digest = (self.version, xxhash.xxh64_intdigest(fields))
+        return self._digest[1]
+
+    def beat(self, instances: dict[str, str], now_s: float) -> ViewBeat:
+        """Return the message that confirms the view to peers."""
+        return ViewBeat(
+            sender=self.instance_id,
+            address=self.address,
+            operator_offset=self.operator_offset,
+            target_offset=self.target_offset,
+            age_ms=self._age_ms(now_s),
+            digest=self.digest(),
+            instances=instances,
+        )
+
+    def state(self, now_s: float) -> ViewState:
+        """Return the message that holds the whole view."""
+        return ViewState(
+            sender=self.instance_id,
+            operator_offset=self.operator_offset,
+            target_offset=self.target_offset,
+            age_ms=self._age_ms(now_s),
+            configuration=self.view.configuration,
+            targets=list(self.view.targets.values()),
+            zones_out=sorted(self.view.zones_out),
+        )
+
+    def heard_beat(self, beat: ViewBeat, now_s: float) -> bool:
+        """Take in a peer's confirmation; return whether its view is needed."""
+        if self._is_behind_us(beat):
+            return False
+        if beat.digest != self.digest():
+            return True
+        self.operator_offset = beat.operator_offset
+        self.target_offset = beat.target_offset
+        self.confirm(now_s - beat.age_ms / 1_000)
+        return False
+
+    def heard_state(self, state: ViewState, now_s: float) -> bool:
+        """Take in a peer's view where it is newer; return whether that changed ours."""
+        changed = False
+        if state.operator_offset >= self.operator_offset:
+            self.operator_offset = state.operator_offset
+            event = ConfigurationPublished(state.configuration)
+            changed |= self.apply([event], now_s)
+            changed |= self.replace_zones_out(state.zones_out)
+        if state.target_offset >= self.target_offset:
+            self.target_offset = state.target_offset
+            changed |= self.replace_targets(state.targets, now_s)
+            self.confirm(now_s - state.age_ms / 1_000)
+        return changed
+
+    def _is_behind_us(self, beat: ViewBeat) -> bool:
+        return (
+            beat.operator_offset < self.operator_offset
+            or beat.target_offset < self.target_offset
+        )
+
+    def _age_ms(self, now_s: float) -> float:
+        if self.confirmed_at_s is None:
+            return 0.0
+        return (now_s - self.confirmed_at_s) * 1_000
+
+    def _count(self, changed: bool) -> None:
+        if changed:
+            self.version += 1
--- a/packages/baobabring/baobabring/peers/_frames.py
+++ b/packages/baobabring/baobabring/peers/_frames.py
@@ -6,6 +6,13 @@
 import msgspec
 
 from baobabring.balancing import InFlightUpdate
+from baobabring.entry import (
+    InstanceAlive,
+    TargetFailures,
+    ViewBeat,
+    ViewRequest,
+    ViewState,
+)
 from baobabring.membership import Heartbeat
 from baobabring.probing import SharedProbe
 
@@ -27,7 +34,18 @@
     cold_starts: bytes
 
 
-PeerMessage = Heartbeat | InFlightUpdate | StateRequest | StateReply | SharedProbe
+PeerMessage = (
+    Heartbeat
+    | InFlightUpdate
+    | StateRequest
+    | StateReply
+    | SharedProbe
+    | InstanceAlive
+    | ViewBeat
+    | ViewState
+    | ViewRequest
+    | TargetFailures
+)
 
 
 class MessageKind(IntEnum):
@@ -38,6 +56,11 @@
     STATE_REQUEST = 3
     STATE_REPLY = 4
     PROBE = 5
+    INSTANCE_ALIVE = 6
+    VIEW_BEAT = 7
+    VIEW_STATE = 8
+    VIEW_REQUEST = 9
+    TARGET_FAILURES = 10
 
 
 MESSAGE_TYPES = {
@@ -46,6 +69,11 @@
     MessageKind.STATE_REQUEST: StateRequest,
     MessageKind.STATE_REPLY: StateReply,
     MessageKind.PROBE: SharedProbe,
+    MessageKind.INSTANCE_ALIVE: InstanceAlive,
+    MessageKind.VIEW_BEAT: ViewBeat,
+    MessageKind.VIEW_STATE: ViewState,
+    MessageKind.VIEW_REQUEST: ViewRequest,
+    MessageKind.TARGET_FAILURES: TargetFailures,
 }
 KINDS = {message_type: kind for kind, message_type in MESSAGE_TYPES.items()}
 HEADER_BYTES = 2
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The program of an entry instance on the users' platform."""
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_call_task.py
@@ -0,0 +1,208 @@
+"""Life of each call, from its arrival to its outcome and its log line."""
+
+import asyncio
+from dataclasses import dataclass
+from random import Random
+
+import logbook
+
+from baobabring.entry import (
+    CallProblem,
+    Delivered,
+    EntryCall,
+    EntryConfiguration,
+    EntryOutcome,
+    EntryRoute,
+    NotRun,
+    Rejected,
+    RouteTable,
+    SharedView,
+    Undetermined,
+    WeightedTurns,
+)
+from baobabring.platform.wire import read_caller_headers
+from baobabring.program.entry._forwarder import CallProgress, Forwarder
+from baobabring.program.entry._metrics import ENTRY_CALL_SECONDS, ENTRY_CALLS
+from baobabring.utils import Clock
+
+LOG = logbook.Logger("call")
+
+MS_PER_S = 1_000
+# An answer must be with the caller before the caller or the operator gives up.
+ANSWER_MARGIN_S = 0.01
+NO_CONFIGURATION_RETRY_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """Hold one caller's request as it came; header names are in lower case."""
+
+    method: str
+    path: str
+    host: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    arrived_at_s: float
+
+
+class CallTask:
+    """Turn requests into calls and see them through."""
+
+    def __init__(
+        self, shared: SharedView, forwarder: Forwarder, clock: Clock, rng: Random
+    ) -> None:
+        self.shared = shared
+        self.forwarder = forwarder
+        self.clock = clock
+        self.rng = rng
+        self.ready = False
+        self.leaving = False
+        self.in_progress = 0
+        self._configuration = EntryConfiguration()
+        self._table = RouteTable(self._configuration)
+        self._turns: dict[str, WeightedTurns] = {}
+        self._progress: dict[asyncio.Task, CallProgress] = {}
+
+    @property
+    def body_limit_bytes(self) -> int:
+        """Return how long a request's body may be."""
+        return self._configuration.limits.body_limit_bytes
+
+    def configure(self, configuration: EntryConfiguration) -> None:
+        """Route by a new configuration from now on."""
+        self._configuration = configuration
+        self._table = RouteTable(configuration)
+        self._turns = {
+            route.route_id: self._carry_over_turns(route)
+            for route in configuration.routes
+        }
+
+    def start(self, request: CallerRequest) -> asyncio.Future[EntryOutcome]:
+        """Begin a call; the future ends with its outcome."""
+        call = self._build_call(request)
+        if not isinstance(call, EntryCall):
+            return self._ended(request, call)
+        return asyncio.ensure_future(self._run(call))
+
+    def caller_left(self, task: asyncio.Task) -> None:
+        """Stop a call, unless it may run once only and has been sent."""
+        progress = self._progress.get(task)
+        if progress is None:
+            return
+        if progress.sent and not progress.call.route.idempotent:
+            return
+        task.cancel()
+
+    async def _run(self, call: EntryCall) -> EntryOutcome:
+        progress = CallProgress(call)
+        task = asyncio.current_task()
+        self._progress[task] = progress
+        self.in_progress += 1
+        outcome: EntryOutcome = Undetermined(CallProblem.CALLER_LEFT)
+        try:
+            outcome = await self.forwarder.forward(progress)
+        except Exception:
+            # Whatever broke, the call may have been sent.
+            LOG.exception("call failed", call=call.call_id)
+            outcome = self._internal_outcome(progress)
+        finally:
+            self.in_progress -= 1
+            del self._progress[task]
+            self._tell(progress, outcome)
+        return outcome
+
+    def _internal_outcome(self, progress: CallProgress) -> EntryOutcome:
+        if progress.sent:
+            return Undetermined(CallProblem.INTERNAL)
+        retry_at_s = self.clock.now_s() + NO_CONFIGURATION_RETRY_S
+        return NotRun(CallProblem.INTERNAL, retry_at_s)
+
+    def _build_call(self, request: CallerRequest) -> EntryCall | EntryOutcome:
+        if not self.shared.complete:
+            retry_at_s = request.arrived_at_s + NO_CONFIGURATION_RETRY_S
+            return NotRun(CallProblem.NO_CONFIGURATION, retry_at_s)
+        path = request.path.partition("?")[0]
+        route = self._table.match(request.host, path)
+        if route is None:
+            return Rejected(CallProblem.NO_ROUTE)
+        headers = read_caller_headers(request.headers)
+        wait_ms = route.timeout_ms
+        if headers.time_left_ms is not None:
+            wait_ms = min(wait_ms, headers.time_left_ms)
+        arrived_at_s = request.arrived_at_s
+        call_id = headers.call_id or b""
+        return EntryCall(
+            call_id=call_id.decode("latin-1"),
+            route=route,
+            service_id=self._turns[route.route_id].next_service(),
+            method=request.method,
+            path=request.path,
+            headers=tuple(request.headers),
+            body=request.body,
+            arrived_at_s=arrived_at_s,
+            answer_by_s=arrived_at_s + wait_ms / MS_PER_S - ANSWER_MARGIN_S,
+            goal_at_s=arrived_at_s + route.latency_goal_ms / MS_PER_S,
+        )
+
+    def _carry_over_turns(self, route: EntryRoute) -> WeightedTurns:
+        known = self._turns.get(route.route_id)
+        if known is not None and known.services == route.services:
+            return known
+        return WeightedTurns(route, self.rng.random())
+
+    def _ended(
+        self, request: CallerRequest, outcome: EntryOutcome
+    ) -> asyncio.Future[EntryOutcome]:
+        future = asyncio.get_running_loop().create_future()
+        future.set_result(outcome)
+        ENTRY_CALLS.labels("", _outcome_name(outcome)).inc()
+        call_id = read_caller_headers(request.headers).call_id or b""
+        LOG.info(
+            "call ended",
+            call=call_id.decode("latin-1"),
+            outcome=_outcome_name(outcome),
+            host=request.host,
+            path=request.path,
+            configuration=self._configuration.version,
+        )
+        return future
+
+    def _tell(self, progress: CallProgress, outcome: EntryOutcome) -> None:
+        call = progress.call
+        now_s = self.clock.now_s()
+        name = _outcome_name(outcome)
+        ENTRY_CALLS.labels(call.route.route_id, name).inc()
+        took_s = now_s - call.arrived_at_s
+        ENTRY_CALL_SECONDS.labels(call.route.route_id).observe(took_s)
+        LOG.info(
+            "call ended",
+            call=call.call_id,
+            outcome=name,
+            status=outcome.answer.status if isinstance(outcome, Delivered) else None,
+            route=call.route.route_id,
+            service=call.service_id,
+            tried=progress.tried,
+            took_ms=round(took_s * MS_PER_S, 1),
+            questions=progress.questions,
+            rounds=progress.rounds,
+            offers=[
+                (o.target_id, o.free_slot, round(o.finish_ms), round(o.cost_ms))
+                for o in progress.offers[:3]
+            ],
+            time_left_ms=round((call.answer_by_s - now_s) * MS_PER_S),
+            configuration=self._configuration.version,
+            view_age_ms=self._view_age_ms(now_s),
+        )
+
+    def _view_age_ms(self, now_s: float) -> int | None:
+        confirmed_at_s = self.shared.confirmed_at_s
+        if confirmed_at_s is None:
+            return None
+        return round((now_s - confirmed_at_s) * MS_PER_S)
+
+
+def _outcome_name(outcome: EntryOutcome) -> str:
+    if isinstance(outcome, Delivered):
+        return "delivered"
+    prefix = {NotRun: "not-run", Rejected: "rejected", Undetermined: "undetermined"}
+    return f"{prefix[type(outcome)]}:{outcome.problem.value}"
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -0,0 +1,216 @@
+"""An entry instance: its parts, its tasks, and how it leaves."""
+
+import asyncio
+import signal
+from random import Random
+
+import logbook
+
+from baobabring.connections import ConnectionPool
+from baobabring.entry import (
+    Admission,
+    ChoiceSettings,
+    ColdLimit,
+    EntrySettings,
+    FleetLimits,
+    ReadSchedule,
+    SharedView,
+    TargetBook,
+    TargetChoice,
+    WorkEstimates,
+)
+from baobabring.peers import create_peer_transport
+from baobabring.platform.store import StoreClient
+from baobabring.program._peer_link import PeerLink
+from baobabring.program.entry._app import (
+    create_caller_app,
+    create_metrics_app,
+    create_ready_app,
+)
+from baobabring.program.entry._call_task import CallTask
+from baobabring.program.entry._failure_notices import FailureNotices
+from baobabring.program.entry._forwarder import Forwarder
+from baobabring.program.entry._metrics import TARGETS, VIEW_AGE
+from baobabring.program.entry._peer_task import PeerTask
+from baobabring.program.entry._server import HttpServer
+from baobabring.program.entry._view_task import ViewTask
+from baobabring.retries import RetryBudget, RetrySettings
+from baobabring.utils import Clock
+
+LOG = logbook.Logger("instance")
+
+METRICS_PORT = 9_100
+HOUSEKEEPING_S = 0.1
+CLOSE_IDLE_INTERVAL_S = 1.0
+# The platform's balancer sends connections until it has missed two answers.
+BALANCER_LAG_S = 3.0
+SHUTDOWN_MARGIN_S = 0.8
+LEAVE_POLL_S = 0.05
+IDLE_TIMEOUT_MARGIN_S = 3.0
+MS_PER_S = 1_000
+# Callers' repeats of one instance count in two windows that overlap.
+RETRY_BURST_SHARE = 0.3
+RETRY_FLOOR_SHARE = 0.4
+RETRY_PLANNED_SHARE = 0.75
+
+
+class EntryInstance:
+    """Own the parts and the tasks of an entry instance."""
+
+    def __init__(self, settings: EntrySettings, rng: Random) -> None:
+        self.settings = settings
+        self.clock = Clock()
+        self.link = PeerLink(create_peer_transport(settings.peer_address, None))
+        now_s = self.clock.now_s()
+        self.shared = SharedView(settings.instance_id, settings.peer_address)
+        self.schedule = ReadSchedule(settings.instance_id, now_s)
+        self.store = StoreClient(settings.store_address, ConnectionPool())
+        self.peers = PeerTask(
+            settings.instance_id,
+            settings.peer_address,
+            self.store,
+            self.link,
+            self.clock,
+        )
+        self.peers.is_reader = lambda: self.schedule.is_reader
+        self.view_task = ViewTask(
+            self.shared, self.schedule, self.store, self.link, self.peers, self.clock
+        )
+        self.book = TargetBook()
+        self.cold_limit = ColdLimit(settings.instance_id)
+        self.choice = TargetChoice(
+            settings.zone,
+            ChoiceSettings(),
+            self.book,
+            WorkEstimates(),
+            self.cold_limit,
+            rng,
+        )
+        self.retry_budget = RetryBudget(retry_settings(settings.limits, 1))
+        self.notices = FailureNotices(
+            settings.instance_id, self.link, self.book, self.clock
+        )
+        self.pool = ConnectionPool()
+        forwarder = Forwarder(
+            self.choice,
+            Admission(rng),
+            self.retry_budget,
+            self.notices,
+            self.pool,
+            self.clock,
+        )
+        self.calls = CallTask(self.shared, forwarder, self.clock, rng)
+        self.callers = HttpServer(
+            create_caller_app(self.calls), settings.caller_address
+        )
+        self.readiness = HttpServer(
+            create_ready_app(self.calls), settings.ready_address
+        )
+        self.metrics = HttpServer(
+            create_metrics_app(), f"{settings.metrics_host}:{METRICS_PORT}"
+        )
+        self._leaving = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until a signal, then leave without cutting anything off."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._leaving.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self.link.start()
+        self.view_task.add_listener(self._view_changed)
+        self.peers.add_listener(self._instances_changed)
+        for server in (self.callers, self.readiness, self.metrics):
+            await server.start()
+        LOG.info(
+            "started",
+            instance=self.settings.instance_id,
+            zone=self.settings.zone,
+            callers=self.settings.caller_address,
+            store=self.settings.store_address,
+        )
+        tasks = asyncio.ensure_future(self._run_tasks())
+        leaving = asyncio.ensure_future(self._leaving.wait())
+        await asyncio.wait((tasks, leaving), return_when=asyncio.FIRST_COMPLETED)
+        if tasks.done():
+            tasks.result()
+        await self._leave()
+        tasks.cancel()
+        await asyncio.gather(tasks, return_exceptions=True)
+        LOG.info("stopped", instance=self.settings.instance_id)
+
+    async def _run_tasks(self) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.view_task.run())
+            group.create_task(self.peers.run())
+            group.create_task(self._keep_house())
+
+    async def _keep_house(self) -> None:
+        close_idle_at_s = 0.0
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.notices.flush()
+            now_s = self.clock.now_s()
+            if now_s >= close_idle_at_s:
+                close_idle_at_s = now_s + CLOSE_IDLE_INTERVAL_S
+                self.pool.close_idle()
+                if self.shared.confirmed_at_s is not None:
+                    VIEW_AGE.set(now_s - self.shared.confirmed_at_s)
+
+    def _view_changed(self) -> None:
+        view = self.shared.view
+        now_s = self.clock.now_s()
+        if self.choice.configuration is not view.configuration:
+            self.choice.configuration = view.configuration
+            self.calls.configure(view.configuration)
+            idle_s = view.configuration.limits.idle_timeout_ms / MS_PER_S
+            self.callers.set_keep_alive(idle_s + IDLE_TIMEOUT_MARGIN_S)
+        gone = self.book.set_targets(view.targets.values(), view.zones_out, now_s)
+        self.cold_limit.forget(gone)
+        TARGETS.set(len(view.targets))
+        self._judge_readiness()
+
+    def _instances_changed(self) -> None:
+        instances = self.peers.live()
+        self.choice.instances = len(instances)
+        self.cold_limit.set_instances(instances)
+        self.schedule.set_instances(instances)
+        self.retry_budget.settings = retry_settings(
+            self.settings.limits, len(instances)
+        )
+
+    def _judge_readiness(self) -> None:
+        ready = self.shared.complete and not self._leaving.is_set()
+        if ready != self.calls.ready:
+            self.calls.ready = ready
+            LOG.info("readiness", ready=ready, targets=len(self.shared.view.targets))
+
+    def _reload(self) -> None:
+        # Every setting names the instance or an address, which a start fixes.
+        LOG.info("reload", changed=False)
+
+    async def _leave(self) -> None:
+        started_at_s = self.clock.now_s()
+        limit_s = self.settings.limits.shutdown_ms / MS_PER_S - SHUTDOWN_MARGIN_S
+        self.calls.leaving = True
+        self._judge_readiness()
+        LOG.info("leaving", calls=self.calls.in_progress)
+        self.peers.leave()
+        await asyncio.sleep(min(BALANCER_LAG_S, limit_s / 2))
+        self.callers.close_listener()
+        while self.clock.now_s() < started_at_s + limit_s:
+            if not self.calls.in_progress and not self.callers.connections:
+                break
+            self.callers.close_idle()
+            await asyncio.sleep(LEAVE_POLL_S)
+        LOG.info("left", calls=self.calls.in_progress)
+
+
+def retry_settings(limits: FleetLimits, instances: int) -> RetrySettings:
+    """Return one instance's part of the repeats that the fleet may send."""
+    slack = limits.retry_slack * RETRY_PLANNED_SHARE / instances
+    return RetrySettings(
+        retry_share=limits.retry_share * RETRY_PLANNED_SHARE,
+        floor_per_s=slack * RETRY_FLOOR_SHARE / (limits.retry_window_ms / MS_PER_S),
+        burst=max(1.0, slack * RETRY_BURST_SHARE),
+    )
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_main.py
@@ -0,0 +1,58 @@
+"""Command line of the entry program."""
+
+import gc
+import logging
+import os
+import sys
+from pathlib import Path
+from random import Random
+
+import uvloop
+from absl import app, flags
+from logbook.compat import RedirectLoggingHandler
+
+from baobabring.platform.node_settings import (
+    SETTINGS_VARIABLE,
+    InvalidNodeSettingsError,
+    read_node_settings,
+)
+from baobabring.program.entry._instance import EntryInstance
+from baobabring.program.entry._line_log import LineHandler
+
+EXIT_OK = 0
+EXIT_INVALID_SETTINGS = 2
+
+CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit.")
+
+
+def _main(argv: list[str]) -> int:
+    name = argv[1] if len(argv) > 1 else os.environ.get(SETTINGS_VARIABLE)
+    if name is None:
+        usage = "usage: python -m baobabring.program.entry [--check] FILE; or set "
+        print(usage + SETTINGS_VARIABLE, file=sys.stderr)
+        return EXIT_INVALID_SETTINGS
+    try:
+        settings = read_node_settings(Path(name))
+    except InvalidNodeSettingsError as error:
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_INVALID_SETTINGS
+    if CHECK.value:
+        print(f"{name}: valid")
+        return EXIT_OK
+    logging.getLogger().handlers = [RedirectLoggingHandler()]
+    with LineHandler().applicationbound():
+        uvloop.run(_serve(settings))
+    return EXIT_OK
+
+
+async def _serve(settings) -> None:
+    instance = EntryInstance(settings, Random())
+    # What is there at the start stays, so that collections need not visit it.
+    gc.freeze()
+    await instance.run()
+
+
+def run() -> None:
+    """Run the entry program."""
+    app.run(_main)
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -0,0 +1,45 @@
+"""Counters and histograms of an entry instance."""
+
+from prometheus_client import REGISTRY, Counter, Gauge, Histogram
+
+from baobabring.program._metrics import LATENCY_BUCKETS_S
+
+ENTRY_CALLS = Counter(
+    "baobabring_entry_calls_total", "Calls by outcome.", ("route", "outcome")
+)
+ENTRY_CALL_SECONDS = Histogram(
+    "baobabring_entry_call_seconds",
+    "Time from a call's arrival to its outcome.",
+    ("route",),
+    buckets=LATENCY_BUCKETS_S,
+)
+ENTRY_ATTEMPTS = Counter(
+    "baobabring_entry_attempts_total",
+    "Attempts at targets by how they ended.",
+    ("service", "end"),
+)
+QUESTIONS = Counter(
+    "baobabring_entry_questions_total", "Questions to targets for their health."
+)
+STORE_CALLS = Counter(
+    "baobabring_entry_store_calls_total", "Calls to the store by outcome.", ("outcome",)
+)
+VIEW_AGE = Gauge(
+    "baobabring_entry_view_age_seconds", "Time since the store confirmed the view."
+)
+TARGETS = Gauge("baobabring_entry_targets", "Registered targets.")
+LINES_DROPPED = Gauge(
+    "baobabring_entry_log_lines_dropped", "Log lines that were not written."
+)
+
+__all__ = [
+    "ENTRY_ATTEMPTS",
+    "ENTRY_CALLS",
+    "ENTRY_CALL_SECONDS",
+    "LINES_DROPPED",
+    "QUESTIONS",
+    "REGISTRY",
+    "STORE_CALLS",
+    "TARGETS",
+    "VIEW_AGE",
+]
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_server.py
@@ -0,0 +1,77 @@
+"""HTTP servers of an entry instance, on uvicorn's protocol."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from functools import partial
+
+import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.server import ServerState
+
+BACKLOG_CONNECTIONS = 512
+FIRST_KEEP_ALIVE_S = 20
+
+
+class HttpServer:
+    """Serve an ASGI application at one address.
+
+    uvicorn's own server object owns the process's signals and wakes ten times a
+    second; here it is one of three, and the program owns the signals.
+    """
+
+    def __init__(self, app: Callable, address: str) -> None:
+        self.address = address
+        self.state = ServerState()
+        self._config = uvicorn.Config(
+            app,
+            http="httptools",
+            ws="none",
+            proxy_headers=False,
+            loop="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            timeout_keep_alive=FIRST_KEEP_ALIVE_S,
+        )
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Begin to serve; raises OSError."""
+        self._config.load()
+        host, _, port = self.address.rpartition(":")
+        listener = socket.create_server(
+            (host, int(port)), backlog=BACKLOG_CONNECTIONS, reuse_port=False
+        )
+        create = partial(
+            HttpToolsProtocol,
+            config=self._config,
+            server_state=self.state,
+            app_state={},
+        )
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            create, sock=listener, backlog=BACKLOG_CONNECTIONS
+        )
+
+    def set_keep_alive(self, timeout_s: float) -> None:
+        """Close connections that have been idle for so long."""
+        self._config.timeout_keep_alive = int(timeout_s)
+
+    def close_listener(self) -> None:
+        """Take no new connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    def close_idle(self) -> None:
+        """Close idle connections, and the others after their answers."""
+        for connection in list(self.state.connections):
+            connection.shutdown()
+
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self.state.connections)
