--- a/packages/baobabring/baobabring/entry/_routes.py
+++ b/packages/baobabring/baobabring/entry/_routes.py
@@ -2,6 +2,9 @@
 
 from baobabring.entry._model import EntryConfiguration, EntryRoute
 
+# Even a service with one call in a hundred comes first at some instance.
+STAGGER_CALLS = 100
+
 
 class RouteTable:
     """Match hosts and paths to routes by the longest path prefix."""
@@ -36,8 +39,10 @@
             service.weight / total if total else 1.0 / len(self.services)
             for service in self.services
         ]
+        self._credits = [0.0] * len(self._shares)
         # Instances that start together must not send their first calls alike.
-        self._credits = _credits_at(self._shares, first_turn)
+        for _ in range(int(first_turn * STAGGER_CALLS)):
+            self.next_service()
 
     def next_service(self) -> str:
         """Return the service that gets the next call."""
@@ -48,15 +53,3 @@
         chosen = max(range(len(self._credits)), key=self._credits.__getitem__)
         self._credits[chosen] -= 1.0
         return self.services[chosen].service_id
-
-
-def _credits_at(shares: list[float], turn: float) -> list[float]:
-    """Return credits as if the turn, from 0 to 1, had picked one service already."""
-    credits = list(shares)
-    passed = 0.0
-    for number, share in enumerate(shares):
-        passed += share
-        if turn < passed:
-            credits[number] -= 1.0
-            break
-    return credits
