Start from peers at once, wait in one queue a service, hedge late idempotent calls

Idempotent calls stuck at a slow target ran into their timeout.

Ruled out: slow imports (the first line comes 0.0 s after the restart).

The equal division of questions starves the busy zone's instances (1.2 a call in cordoba, 4.1 in santa-fe); that comes next.

--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -10,6 +10,7 @@
 from baobabring.entry._choice import ChoiceSettings, Offer, TargetChoice
 from baobabring.entry._cold_limit import ColdLimit
 from baobabring.entry._estimates import WorkEstimates
+from baobabring.entry._hedging import hedge_at_s
 from baobabring.entry._messages import (
     InstanceAlive,
     TargetFailures,
@@ -40,6 +41,7 @@
     TargetAnswer,
     Undetermined,
 )
+from baobabring.entry._question_budget import QuestionBudget
 from baobabring.entry._read_schedule import ReadSchedule
 from baobabring.entry._routes import RouteTable, WeightedTurns
 from baobabring.entry._settings import EntrySettings, FleetLimits
@@ -84,6 +86,7 @@
     "LoadReport",
     "NotRun",
     "Offer",
+    "QuestionBudget",
     "ReadSchedule",
     "RefuseCall",
     "Rejected",
@@ -106,4 +109,5 @@
     "WorkEstimates",
     "ZoneReturned",
     "ZoneTakenOut",
+    "hedge_at_s",
 ]
--- a/packages/baobabring/baobabring/entry/_choice.py
+++ b/packages/baobabring/baobabring/entry/_choice.py
@@ -72,7 +72,11 @@
         self.instances = 1
 
     def targets_to_ask(
-        self, service_id: str, exclude: Collection[str], now_s: float
+        self,
+        service_id: str,
+        exclude: Collection[str],
+        now_s: float,
+        count: int | None = None,
     ) -> list[TargetRecord]:
         """Return the targets that look best, with some chance for all others."""
         candidates = [
@@ -85,7 +89,7 @@
         ranked = sorted(
             reachable or candidates, key=lambda record: self._rank(record, now_s)
         )
-        return ranked[: self.settings.asked_targets]
+        return ranked[: count or self.settings.asked_targets]
 
     def offers(
         self, call: EntryCall, reports: Sequence[HealthReport], now_s: float
--- a/packages/baobabring/baobabring/entry/_messages.py
+++ b/packages/baobabring/baobabring/entry/_messages.py
@@ -6,10 +6,14 @@
 
 
 class InstanceAlive(msgspec.Struct, array_like=True, frozen=True):
-    """Tell that an instance runs, and where its peers reach it."""
+    """Tell that an instance runs, and where its peers reach it.
+
+    One that is joining knows nothing yet; the reader answers with its view.
+    """
 
     sender: str
     address: str
+    joining: bool = False
     leaving: bool = False
 
 
--- a/packages/baobabring/baobabring/entry/_read_schedule.py
+++ b/packages/baobabring/baobabring/entry/_read_schedule.py
@@ -5,6 +5,8 @@
 import xxhash
 
 READ_INTERVAL_S = 0.7
+# Instances that all start at once step in by turns, too.
+FIRST_READ_STEP_S = 0.06
 # A reader that is silent for this long is replaced, by one instance after the other.
 TAKEOVER_S = 1.0
 TAKEOVER_STEP_S = 0.12
@@ -27,6 +29,7 @@
         self._not_before_s = now_s
         self._failures = 0
         self._rank = 0
+        self._ever_confirmed = False
 
     def set_instances(self, instance_ids: Collection[str]) -> None:
         """Take the instances among which readers are found."""
@@ -37,12 +40,16 @@
         """Return when this instance is to read unless it hears of another one."""
         if self.is_reader:
             return max(self._not_before_s, self._confirmed_at_s + READ_INTERVAL_S)
+        if not self._ever_confirmed:
+            first_s = self._confirmed_at_s + self._rank * FIRST_READ_STEP_S
+            return max(self._not_before_s, first_s)
         takeover_s = TAKEOVER_S + self._rank * TAKEOVER_STEP_S
         return max(self._not_before_s, self._confirmed_at_s + takeover_s)
 
     def read_succeeded(self, at_s: float) -> None:
         """Record that this instance has read the store."""
         self.is_reader = True
+        self._ever_confirmed = True
         self._failures = 0
         self._confirmed_at_s = max(at_s, self._confirmed_at_s)
 
@@ -54,8 +61,10 @@
 
     def confirmed_by_peer(self, peer_id: str, at_s: float, now_s: float) -> None:
         """Record that a peer has read the store."""
-        if at_s <= self._confirmed_at_s and not self.is_reader:
+        tells_nothing_new = at_s <= self._confirmed_at_s and self._ever_confirmed
+        if tells_nothing_new and not self.is_reader:
             return
+        self._ever_confirmed = True
         fresh = now_s - at_s < TAKEOVER_S
         # Of two readers the one that comes first goes on.
         if self.is_reader and fresh:
--- a/packages/baobabring/baobabring/entry/tests/test_read_schedule.py
+++ b/packages/baobabring/baobabring/entry/tests/test_read_schedule.py
@@ -85,3 +85,10 @@
     reader.confirmed_by_peer("b", 1.4, 1.41)
     assert not reader.is_reader
     assert reader.next_read_at_s() == pytest.approx(1.4 + TAKEOVER_S, abs=0.2)
+
+
+def test_fleet_that_starts_at_once_reads_at_once_and_only_once():
+    schedules = build_schedules()
+    reads = play(schedules, 0.7)
+    assert reads[0][0] < 0.05
+    assert len(reads) == 1
--- a/packages/baobabring/baobabring/program/entry/_call_task.py
+++ b/packages/baobabring/baobabring/program/entry/_call_task.py
@@ -184,7 +184,7 @@
             tried=progress.tried,
             took_ms=round(took_s * MS_PER_S, 1),
             questions=progress.questions,
-            rounds=progress.rounds,
+            waited=progress.waited,
             offers=[
                 (o.target_id, o.free_slot, round(o.finish_ms), round(o.cost_ms))
                 for o in progress.offers[:3]
--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -9,7 +9,6 @@
     ConnectionPool,
     ExchangeError,
     ExchangeFailure,
-    TargetConnection,
     WireAnswer,
 )
 from baobabring.entry import (
@@ -23,15 +22,16 @@
     Delivered,
     EntryCall,
     EntryOutcome,
-    HealthReport,
     NotRun,
     Offer,
+    QuestionBudget,
     RefuseCall,
     SendCall,
     TargetAnswer,
     TargetChoice,
     TargetRecord,
     Undetermined,
+    hedge_at_s,
 )
 from baobabring.platform.wire import (
     CALL_ID_HEADER,
@@ -44,6 +44,7 @@
 from baobabring.program.entry._asker import Asked, Asker
 from baobabring.program.entry._failure_notices import FailureNotices
 from baobabring.program.entry._metrics import ENTRY_ATTEMPTS
+from baobabring.program.entry._waiting import Assigned, WaitingRoom
 from baobabring.retries import RetryBudget
 from baobabring.utils import Clock
 
@@ -64,7 +65,7 @@
     call: EntryCall
     tried: list[str] = field(default_factory=list)
     questions: int = 0
-    rounds: int = 0
+    waited: bool = False
     may_have_run: bool = False
     sent: bool = False
     last_answer: TargetAnswer | None = None
@@ -72,16 +73,6 @@
     offers: list[Offer] = field(default_factory=list)
 
 
-@dataclass(frozen=True, slots=True)
-class _Chosen:
-    """Hold the target that gets a call and the open connection to it."""
-
-    record: TargetRecord
-    report: HealthReport
-    connection: TargetConnection
-    free_slot: bool
-
-
 class Forwarder:
     """Carry each call to its one outcome."""
 
@@ -91,6 +82,7 @@
         admission: Admission,
         retry_budget: RetryBudget,
         notices: FailureNotices,
+        budget: QuestionBudget,
         pool: ConnectionPool,
         clock: Clock,
     ) -> None:
@@ -100,7 +92,9 @@
         self.notices = notices
         self.pool = pool
         self.clock = clock
+        self.budget = budget
         self.asker = Asker(pool, clock)
+        self.waiting = WaitingRoom(choice, admission, self.asker, budget, clock)
 
     async def forward(self, progress: CallProgress) -> EntryOutcome:
         """Try targets until there is an outcome."""
@@ -111,50 +105,66 @@
                 return self._give_up(progress, chosen)
             if not progress.tried:
                 self.retry_budget.record_first_try(call.service_id, self.clock.now_s())
-            end = await self._attempt(progress, chosen)
-            outcome = self._judge(progress, chosen, end)
+            end = await self._attempt_with_hedge(progress, chosen)
+            outcome = self._judge(progress, end)
             if outcome is not None:
                 return outcome
 
     # Choice
 
-    async def _choose(self, progress: CallProgress) -> _Chosen | RefuseCall:
+    async def _choose(self, progress: CallProgress) -> Assigned | RefuseCall:
+        call = progress.call
+        now_s = self.clock.now_s()
+        if now_s + LEAST_TIME_LEFT_S >= call.answer_by_s:
+            return RefuseCall(now_s, CallProblem.TIMEOUT)
+        exclude = frozenset(progress.tried)
+        if not self.waiting.is_ahead_of(call):
+            decision = await self._ask_once(progress, exclude)
+            if not isinstance(decision, AskAgain):
+                return decision
+        progress.waited = True
+        return await self.waiting.wait(call, exclude)
+
+    async def _ask_once(
+        self, progress: CallProgress, exclude: frozenset[str]
+    ) -> Assigned | RefuseCall | AskAgain:
+        """Ask a few targets, and a few others if the first ones are full."""
         asked: dict[str, Asked] = {}
         try:
-            return await self._choose_among(progress, asked)
+            return await self._ask_until_decided(progress, exclude, asked)
         finally:
             for left_over in asked.values():
                 self.asker.release(left_over)
 
-    async def _choose_among(
-        self, progress: CallProgress, asked: dict[str, Asked]
-    ) -> _Chosen | RefuseCall:
+    async def _ask_until_decided(
+        self,
+        progress: CallProgress,
+        exclude: frozenset[str],
+        asked: dict[str, Asked],
+    ) -> Assigned | RefuseCall | AskAgain:
         call = progress.call
-        seen = set(progress.tried)
-        rounds = 0
-        while True:
+        seen = set(exclude)
+        for round_number in range(1, QUESTION_ROUNDS + 1):
             now_s = self.clock.now_s()
-            if now_s + LEAST_TIME_LEFT_S >= call.answer_by_s:
-                return RefuseCall(now_s, CallProblem.TIMEOUT)
-            records = self.choice.targets_to_ask(call.service_id, seen, now_s)
+            wanted = self.choice.settings.asked_targets
+            count = self.budget.take(wanted, now_s)
+            records = self.choice.targets_to_ask(call.service_id, seen, now_s, count)
             await self._ask(progress, records, asked)
             seen.update(record.target.target_id for record in records)
-            rounds += 1
             now_s = self.clock.now_s()
             reports = [answer.report for answer in asked.values()]
             progress.offers = self.choice.offers(call, reports, now_s)
-            others_left = rounds < QUESTION_ROUNDS and bool(
-                self.choice.targets_to_ask(call.service_id, seen, now_s)
+            others_left = (
+                round_number < QUESTION_ROUNDS
+                and not self.budget.scarce
+                and bool(self.choice.targets_to_ask(call.service_id, seen, now_s))
             )
             decision = self.admission.decide(call, progress.offers, others_left, now_s)
             if isinstance(decision, SendCall):
                 return self._take(decision, progress, asked)
-            if isinstance(decision, RefuseCall):
+            if isinstance(decision, RefuseCall) or not others_left:
                 return decision
-            if not others_left:
-                seen = set(progress.tried)
-                rounds = 0
-                await self._wait(decision, asked)
+        return AskAgain(now_s)
 
     async def _ask(
         self,
@@ -165,7 +175,6 @@
         service = self.choice.configuration.services.get(progress.call.service_id)
         if service is None or not records:
             return
-        progress.rounds += 1
         progress.questions += len(records)
         for answer in await self.asker.ask(records, service.health_path):
             asked[answer.report.target_id] = answer
@@ -174,24 +183,69 @@
                     service.service_id, answer.report.load.slowdown
                 )
 
-    async def _wait(self, decision: AskAgain, asked: dict[str, Asked]) -> None:
-        for answer in asked.values():
-            self.asker.release(answer)
-        asked.clear()
-        await asyncio.sleep(max(0.0, decision.at_s - self.clock.now_s()))
-
     def _take(
         self, decision: SendCall, progress: CallProgress, asked: dict[str, Asked]
-    ) -> _Chosen:
+    ) -> Assigned:
         answer = asked.pop(decision.target_id)
         record = self.choice.book.record(decision.target_id)
         offer = next(o for o in progress.offers if o.target_id == decision.target_id)
-        return _Chosen(record, answer.report, answer.connection, offer.free_slot)
+        return Assigned(record, answer, offer.free_slot, offer.finish_ms)
 
     # Attempts
 
-    async def _attempt(self, progress: CallProgress, chosen: _Chosen) -> AttemptEnd:
+    async def _attempt_with_hedge(
+        self, progress: CallProgress, chosen: Assigned
+    ) -> AttemptEnd:
+        """Attempt a call; try a second target as well if the first one is late."""
+        call = progress.call
+        tries = len(progress.tried) + 1
+        now_s = self.clock.now_s()
+        at_s = hedge_at_s(call, now_s, chosen.finish_ms, tries)
+        if at_s is None:
+            return await self._attempt(progress, chosen)
+        attempts = [asyncio.ensure_future(self._attempt(progress, chosen))]
+        try:
+            await asyncio.wait(attempts, timeout=at_s - now_s)
+            if not attempts[0].done():
+                second = await self._choose_hedge(progress)
+                if second is not None:
+                    attempt = asyncio.ensure_future(self._attempt(progress, second))
+                    attempts.append(attempt)
+            return await self._first_good(attempts)
+        finally:
+            for attempt in attempts:
+                attempt.cancel()
+
+    async def _choose_hedge(self, progress: CallProgress) -> Assigned | None:
+        """Return a second target with a free slot, None if there is none to spare."""
+        call = progress.call
+        if self.budget.scarce or self.waiting.is_ahead_of(call):
+            return None
+        decision = await self._ask_once(progress, frozenset(progress.tried))
+        if not isinstance(decision, Assigned):
+            return None
+        if decision.free_slot and self._may_try_again(progress):
+            return decision
+        self.asker.release(decision.asked)
+        return None
+
+    async def _first_good(self, attempts: list[asyncio.Task]) -> AttemptEnd:
+        """Return the first answer that is no failure, else how the last one ended."""
+        pending = set(attempts)
+        while True:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            ends = [task.result() for task in done]
+            for end in ends:
+                if isinstance(end, AttemptAnswered) and not _is_failure(end):
+                    return end
+            if not pending:
+                return ends[0]
+
+    async def _attempt(self, progress: CallProgress, chosen: Assigned) -> AttemptEnd:
         call, target = progress.call, chosen.record.target
+        connection = chosen.asked.connection
         now_s = self.clock.now_s()
         time_left_ms = (call.answer_by_s - now_s) * MS_PER_S
         request = request_to_target(call, target, time_left_ms)
@@ -203,22 +257,32 @@
             end = await self._exchange(progress, chosen, request)
         finally:
             chosen.record.call_ended()
-            if chosen.connection.busy:
-                chosen.connection.abandon()
+            if connection.busy:
+                connection.abandon()
             else:
-                self.pool.give_back(target.address, chosen.connection)
+                self.pool.give_back(target.address, connection)
         ENTRY_ATTEMPTS.labels(call.service_id, type(end).__name__).inc()
+        self._learn(progress, chosen.record, end)
         return end
 
+    def _learn(
+        self, progress: CallProgress, record: TargetRecord, end: AttemptEnd
+    ) -> None:
+        if isinstance(end, AttemptNotRun):
+            return
+        progress.may_have_run = True
+        if isinstance(end, AttemptLost) or _is_failure(end):
+            self._note_failure(record, self.clock.now_s())
+
     async def _exchange(
-        self, progress: CallProgress, chosen: _Chosen, request: bytes
+        self, progress: CallProgress, chosen: Assigned, request: bytes
     ) -> AttemptEnd:
         call = progress.call
         sent_at_s = self.clock.now_s()
         call_id = call.call_id.encode("latin-1")
         try:
             async with asyncio.timeout(call.answer_by_s - sent_at_s):
-                answer = await chosen.connection.exchange(
+                answer = await chosen.asked.connection.exchange(
                     request, CALL_ID_HEADER, call_id
                 )
         except TimeoutError:
@@ -234,14 +298,14 @@
         return self._read_answer(call, chosen, answer, now_s - sent_at_s)
 
     def _read_answer(
-        self, call: EntryCall, chosen: _Chosen, answer: WireAnswer, took_s: float
+        self, call: EntryCall, chosen: Assigned, answer: WireAnswer, took_s: float
     ) -> AttemptEnd:
         if says_not_run(answer):
             return AttemptNotRun(reached_target=True)
         if not from_target_program(answer):
             return AttemptLost(CallProblem.BAD_ANSWER)
         if answer.status in SUCCESS_STATUSES and chosen.free_slot:
-            load = chosen.report.load
+            load = chosen.asked.report.load
             slowdown = load.slowdown if load is not None else 1.0
             self.choice.estimates.observe_work(call, took_s * MS_PER_S, slowdown)
         headers = tuple(headers_to_caller(answer))
@@ -249,34 +313,27 @@
 
     # Ends
 
-    def _judge(
-        self, progress: CallProgress, chosen: _Chosen, end: AttemptEnd
-    ) -> EntryOutcome | None:
+    def _judge(self, progress: CallProgress, end: AttemptEnd) -> EntryOutcome | None:
         """Return the outcome that an attempt's end makes, None to try again."""
         call = progress.call
-        now_s = self.clock.now_s()
         if isinstance(end, AttemptAnswered):
-            failed = end.answer.status in FAILURE_STATUSES
-            if failed:
-                self._note_failure(chosen.record, now_s)
             progress.last_answer = end.answer
-            progress.may_have_run = True
-            if failed and call.route.idempotent and self._may_try_again(progress):
+            repeatable = call.route.idempotent and _is_failure(end)
+            if repeatable and self._may_try_again(progress):
                 return None
             return Delivered(end.answer)
         if isinstance(end, AttemptLost):
-            self._note_failure(chosen.record, now_s)
-            progress.may_have_run = True
             progress.last_problem = end.problem
             if call.route.idempotent and self._may_try_again(progress):
                 return None
             return self._last_outcome(progress, end.problem)
-        if end.reached_target or not progress.may_have_run:
-            progress.last_problem = CallProblem.TARGETS_REFUSED
         if self._may_try_again(progress):
             return None
         refusal = self.admission.refuse(
-            call, call.route.latency_goal_ms / 2, CallProblem.TARGETS_REFUSED, now_s
+            call,
+            call.route.latency_goal_ms / 2,
+            CallProblem.TARGETS_REFUSED,
+            self.clock.now_s(),
         )
         return self._give_up(progress, refusal)
 
@@ -305,3 +362,7 @@
     def _note_failure(self, record: TargetRecord, now_s: float) -> None:
         record.add_failure(now_s)
         self.notices.add(record.target.target_id)
+
+
+def _is_failure(end: AttemptAnswered) -> bool:
+    return end.answer.status in FAILURE_STATUSES
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -13,6 +13,7 @@
     ColdLimit,
     EntrySettings,
     FleetLimits,
+    QuestionBudget,
     ReadSchedule,
     SharedView,
     TargetBook,
@@ -90,12 +91,14 @@
         self.notices = FailureNotices(
             settings.instance_id, self.link, self.book, self.clock
         )
+        self.budget = QuestionBudget(settings.limits.questions_per_target_s, now_s)
         self.pool = ConnectionPool()
         forwarder = Forwarder(
             self.choice,
             Admission(rng),
             self.retry_budget,
             self.notices,
+            self.budget,
             self.pool,
             self.clock,
         )
@@ -168,11 +171,13 @@
         gone = self.book.set_targets(view.targets.values(), view.zones_out, now_s)
         self.cold_limit.forget(gone)
         TARGETS.set(len(view.targets))
+        self.budget.set_fleet(len(view.targets), self.choice.instances)
         self._judge_readiness()
 
     def _instances_changed(self) -> None:
         instances = self.peers.live()
         self.choice.instances = len(instances)
+        self.budget.set_fleet(len(self.book), len(instances))
         self.cold_limit.set_instances(instances)
         self.schedule.set_instances(instances)
         self.retry_budget.settings = retry_settings(
--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -48,6 +48,8 @@
         self.clock = clock
         self.reader_address: str | None = None
         self.is_reader: Callable[[], bool] = lambda: False
+        self.welcome: Callable[[str], None] = lambda address: None
+        self.joined = asyncio.Event()
         self._peers: dict[str, _Peer] = {}
         self._listeners: list[Callable[[], None]] = []
         link.subscribe(InstanceAlive, self._heard_alive)
@@ -110,7 +112,8 @@
             LOG.warning("joining failed", problem=failure.problem)
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 2, RETRY_LIMIT_S)
-        self.link.broadcast(InstanceAlive(self.instance_id, self.address))
+        self.link.broadcast(InstanceAlive(self.instance_id, self.address, joining=True))
+        self.joined.set()
 
     async def _read_and_announce(self) -> StoreFailed | None:
         newest = await self.store.newest(INSTANCE_TOPIC)
@@ -133,6 +136,8 @@
     def _heard_alive(self, message: InstanceAlive) -> None:
         if not message.leaving:
             self.heard(message.sender, message.address)
+            if message.joining and self.is_reader():
+                self.welcome(message.address)
             return
         if self._peers.pop(message.sender, None) is not None:
             LOG.info("instance left", instance=message.sender)
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -41,6 +41,8 @@
 # Changes that follow one another quickly are read together.
 OPERATOR_PAUSE_S = 0.25
 RETRY_OPERATORS_S = 0.5
+# Peers may know the view, so an instance joins them before it reads the store.
+JOIN_WAIT_S = 0.5
 IDLE_CHECK_S = 0.1
 
 ViewListener = Callable[[], None]
@@ -73,6 +75,7 @@
         link.subscribe(ViewBeat, self._heard_beat)
         link.subscribe(ViewState, self._heard_state)
         link.subscribe(ViewRequest, self._heard_request)
+        peers.welcome = self._welcome
 
     def add_listener(self, listener: ViewListener) -> None:
         """Call `listener` after each change of the view."""
@@ -87,6 +90,8 @@
     # Reading
 
     async def _keep_targets(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.peers.joined.wait(), JOIN_WAIT_S)
         while True:
             now_s = self.clock.now_s()
             if self.shared.tick(now_s):
@@ -260,6 +265,13 @@
             now_s = self.clock.now_s()
             self.link.send(request.reply_address, self.shared.state(now_s))
 
+    def _welcome(self, address: str) -> None:
+        """Tell the view to an instance that has just started."""
+        if self.shared.complete:
+            now_s = self.clock.now_s()
+            self.link.send(address, self.shared.state(now_s))
+            self.link.send(address, self.shared.beat(self.peers.live(), now_s))
+
     def _changed(self, cause: str, peer: str | None = None) -> None:
         view = self.shared.view
         LOG.info(
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_waiting.py
@@ -0,0 +1,155 @@
+"""Calls that wait for a slot, and the questions asked for all of them."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from baobabring.entry import (
+    Admission,
+    AskAgain,
+    EntryCall,
+    QuestionBudget,
+    RefuseCall,
+    SendCall,
+    TargetChoice,
+    TargetRecord,
+)
+from baobabring.program.entry._asker import Asked, Asker
+from baobabring.utils import Clock
+
+# Between two rounds of questions about as much time passes as a slot's change takes
+# to matter.
+ROUND_INTERVAL_S = 0.012
+SCARCE_ROUND_INTERVAL_S = 0.04
+TARGETS_PER_WAITING_CALL = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Assigned:
+    """Give a call to a target on the connection on which that was asked."""
+
+    record: TargetRecord
+    asked: Asked
+    free_slot: bool
+    finish_ms: float
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """Hold a call that waits and the future that ends its wait."""
+
+    call: EntryCall
+    exclude: frozenset[str]
+    decision: asyncio.Future[Assigned | RefuseCall]
+    order: tuple[int, float] = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.order = (self.call.route.priority, self.call.arrived_at_s)
+
+
+class WaitingRoom:
+    """Ask targets in rounds for all calls of a service that wait.
+
+    More urgent calls choose first in each round, then earlier ones.
+    """
+
+    def __init__(
+        self,
+        choice: TargetChoice,
+        admission: Admission,
+        asker: Asker,
+        budget: QuestionBudget,
+        clock: Clock,
+    ) -> None:
+        self.choice = choice
+        self.admission = admission
+        self.asker = asker
+        self.budget = budget
+        self.clock = clock
+        self._waiters: dict[str, list[Waiter]] = {}
+        self._rounds: dict[str, asyncio.Task] = {}
+
+    def is_ahead_of(self, call: EntryCall) -> bool:
+        """Tell whether calls wait that are as urgent as this one or more."""
+        return any(
+            waiter.call.route.priority <= call.route.priority
+            for waiter in self._waiters.get(call.service_id, ())
+        )
+
+    async def wait(
+        self, call: EntryCall, exclude: frozenset[str]
+    ) -> Assigned | RefuseCall:
+        """Wait for a slot, or for the decision to refuse the call."""
+        decision = asyncio.get_running_loop().create_future()
+        waiter = Waiter(call, exclude, decision)
+        waiters = self._waiters.setdefault(call.service_id, [])
+        waiters.append(waiter)
+        waiters.sort(key=lambda waiter: waiter.order)
+        if call.service_id not in self._rounds:
+            task = asyncio.ensure_future(self._ask_in_rounds(call.service_id))
+            self._rounds[call.service_id] = task
+        try:
+            return await decision
+        except asyncio.CancelledError:
+            if decision.done() and not decision.cancelled():
+                self._return_assigned(decision.result())
+            raise
+        finally:
+            if waiter in waiters:
+                waiters.remove(waiter)
+
+    def _return_assigned(self, decided: Assigned | RefuseCall) -> None:
+        if isinstance(decided, Assigned):
+            self.asker.release(decided.asked)
+
+    async def _ask_in_rounds(self, service_id: str) -> None:
+        waiters = self._waiters[service_id]
+        try:
+            while waiters:
+                await self._ask_round(service_id, waiters)
+                scarce = self.budget.scarce
+                pause_s = SCARCE_ROUND_INTERVAL_S if scarce else ROUND_INTERVAL_S
+                await asyncio.sleep(pause_s)
+        finally:
+            del self._rounds[service_id]
+
+    async def _ask_round(self, service_id: str, waiters: list[Waiter]) -> None:
+        now_s = self.clock.now_s()
+        service = self.choice.configuration.services.get(service_id)
+        asked: dict[str, Asked] = {}
+        if service is not None:
+            wanted = len(waiters) * TARGETS_PER_WAITING_CALL
+            wanted = max(wanted, self.choice.settings.asked_targets)
+            granted = self.budget.take(wanted, now_s)
+            records = self.choice.targets_to_ask(service_id, (), now_s, granted)
+            answers = await self.asker.ask(records, service.health_path)
+            asked = {answer.report.target_id: answer for answer in answers}
+        for waiter in list(waiters):
+            if not waiter.decision.done():
+                self._decide(waiter, asked)
+        waiters[:] = [waiter for waiter in waiters if not waiter.decision.done()]
+        for left_over in asked.values():
+            self.asker.release(left_over)
+
+    def _decide(self, waiter: Waiter, asked: dict[str, Asked]) -> None:
+        now_s = self.clock.now_s()
+        reports = [
+            answer.report
+            for answer in asked.values()
+            if answer.report.target_id not in waiter.exclude
+        ]
+        offers = self.choice.offers(waiter.call, reports, now_s)
+        decision = self.admission.decide(waiter.call, offers, False, now_s)
+        if isinstance(decision, AskAgain):
+            return
+        if isinstance(decision, SendCall):
+            offer = next(o for o in offers if o.target_id == decision.target_id)
+            waiter.decision.set_result(
+                Assigned(
+                    self.choice.book.record(decision.target_id),
+                    asked.pop(decision.target_id),
+                    offer.free_slot,
+                    offer.finish_ms,
+                )
+            )
+            return
+        waiter.decision.set_result(decision)
