Keep deadlines through steps of the time of day; bound silent reads of the store

Cause, by reading: the entry instance's clock followed the time of day forwards, so a step of seconds would have ended all calls in progress; a read that waits for operators' records would have hung 11 s on a connection that went silent, past the 2 s in which a configuration must be in force; a target's other idle connections may be silent as well.

--- a/packages/baobabring/baobabring/platform/store.py
+++ b/packages/baobabring/baobabring/platform/store.py
@@ -16,7 +16,7 @@
 )
 from baobabring.platform.records import KeyedRecord
 
-CALL_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 0.8
 STATUS_OK = 200
 STATUS_GONE = 410
 KEY_LENGTH_BYTES = 1
--- /dev/null
+++ b/packages/baobabring/baobabring/platform/tests/test_records.py
@@ -0,0 +1,170 @@
+"""Test the decoding of what lies in the platform's store."""
+
+import json
+
+import pytest
+
+from baobabring.entry import (
+    ConfigurationPublished,
+    TargetRegistered,
+    TargetRemoved,
+    ZoneReturned,
+    ZoneTakenOut,
+)
+from baobabring.platform.records import (
+    KeyedRecord,
+    UnreadableRecord,
+    decode_operator_record,
+    decode_target_record,
+)
+
+REGISTRATION = {
+    "address": "10.128.0.9:8080",
+    "info": {"service": "s", "version": "v1", "zone": "north", "max-concurrency": 2},
+    "status": {"state": "ready", "seq": 4, "warmup-left": "1.5s"},
+    "born": 1_700_000_000_000,
+}
+CONFIGURATION = {
+    "version": 7,
+    "base-version": 5,
+    "limits": {
+        "max-header-bytes": 16384,
+        "max-body-bytes": 67108864,
+        "header-timeout": "3000ms",
+        "idle-timeout": "15000ms",
+    },
+    "listeners": [
+        {
+            "host": "Menu.example",
+            "rule-set": [
+                {
+                    "name": "r-1",
+                    "route-type": "safe",
+                    "target-latency": "600ms",
+                    "priority": 2,
+                    "match": {"path-prefix": "/menu/"},
+                    "action": {
+                        "traffic-split": [
+                            {"service": "a", "weight": 90},
+                            {"service": "b", "weight": 10},
+                        ],
+                        "timeout": "1.5s",
+                        "attempts": 2,
+                    },
+                },
+                {
+                    "name": "r-2",
+                    "route-type": "unsafe",
+                    "target-latency": "800ms",
+                    "match": {"path-prefix": "/fees/"},
+                    "action": {"service": "b", "timeout": "2s", "attempts": 1},
+                },
+            ],
+        }
+    ],
+    "clusters": [
+        {"name": "a", "health-path": "/health", "max-conns": 220, "warmup-per-s": 2.9},
+        {"name": "b", "health-path": "/h", "max-conns": 220, "warmup-per-s": 2.9},
+    ],
+}
+
+
+def record(key, value) -> KeyedRecord:
+    """Return a record with a value as JSON."""
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return KeyedRecord(key, data, 3)
+
+
+def changed(value, *path_and_new):
+    """Return a deep copy with one field changed; None removes it."""
+    *path, new = path_and_new
+    copy = json.loads(json.dumps(value))
+    place = copy
+    for name in path[:-1]:
+        place = place[name]
+    if new is None:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = new
+    return copy
+
+
+def test_registration_is_decoded():
+    event = decode_target_record(record("i-1", REGISTRATION))
+    assert isinstance(event, TargetRegistered)
+    target = event.target
+    assert (target.target_id, target.service_id, target.zone) == ("i-1", "s", "north")
+    assert (target.slots, target.sequence, target.cold_ms) == (2, 4, 1_500.0)
+    assert target.started_at_ms == 1_700_000_000_000
+    assert not target.draining
+
+
+def test_removed_key_removes_the_target():
+    assert decode_target_record(record("i-1", b"")) == TargetRemoved("i-1")
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"{",
+        b"[]",
+        changed(REGISTRATION, "address", None),
+        changed(REGISTRATION, "address", "nowhere"),
+        changed(REGISTRATION, "status", "state", "asleep"),
+        changed(REGISTRATION, "status", "seq", "4"),
+        changed(REGISTRATION, "status", "warmup-left", "soon"),
+        changed(REGISTRATION, "info", "max-concurrency", 0),
+        changed(REGISTRATION, "info", "max-concurrency", None),
+        changed(REGISTRATION, "born", "yesterday"),
+    ],
+)
+def test_faulty_registration_names_no_target(value):
+    event = decode_target_record(record("i-1", value))
+    assert isinstance(event, UnreadableRecord)
+    assert event.key == "i-1"
+    assert event.problem
+
+
+def test_configuration_is_decoded():
+    event = decode_operator_record(record("config", CONFIGURATION))
+    assert isinstance(event, ConfigurationPublished)
+    first, second = event.configuration.routes
+    assert event.configuration.version == 7
+    assert (first.host, first.path_prefix) == ("menu.example", "/menu/")
+    assert first.idempotent and not second.idempotent
+    assert [(part.service_id, part.weight) for part in first.services] == [
+        ("a", 90),
+        ("b", 10),
+    ]
+    assert (first.timeout_ms, first.latency_goal_ms) == (1_500.0, 600.0)
+    assert (second.attempt_limit, second.priority) == (1, 0)
+    assert event.configuration.services["b"].health_path == "/h"
+    assert event.configuration.limits.idle_timeout_ms == 15_000.0
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"no",
+        changed(CONFIGURATION, "version", "7"),
+        changed(CONFIGURATION, "listeners", 0, "rule-set", 0, "route-type", "odd"),
+        changed(
+            CONFIGURATION, "listeners", 0, "rule-set", 1, "action", "service", None
+        ),
+    ],
+)
+def test_faulty_configuration_is_ignored(value):
+    event = decode_operator_record(record("config", value))
+    assert isinstance(event, UnreadableRecord)
+
+
+def test_zone_is_taken_out_and_returned():
+    out = decode_operator_record(record("evacuate/north", {}))
+    assert out == ZoneTakenOut("north")
+    back = decode_operator_record(record("evacuate/north", b""))
+    assert back == ZoneReturned("north")
+
+
+def test_other_keys_of_operators_concern_nobody():
+    assert decode_operator_record(record("note", {"a": 1})) is None
--- a/packages/baobabring/baobabring/program/entry/_asker.py
+++ b/packages/baobabring/baobabring/program/entry/_asker.py
@@ -86,7 +86,12 @@
         try:
             async with asyncio.timeout(QUESTION_TIMEOUT_S):
                 connection, answer = await self._exchange(target.address, request)
-        except (TimeoutError, ConnectError, ExchangeError):
+        except TimeoutError:
+            # Its other connections may have gone silent as well.
+            self.pool.drop(target.address)
+            record.did_not_answer(self.clock.now_s())
+            return None
+        except (ConnectError, ExchangeError):
             record.did_not_answer(self.clock.now_s())
             return None
         report = read_health_answer(answer, target.target_id, asked_at_s)
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -36,7 +36,7 @@
 from baobabring.program.entry._server import HttpServer
 from baobabring.program.entry._view_task import ViewTask
 from baobabring.retries import RetryBudget, RetrySettings
-from baobabring.utils import Clock
+from baobabring.utils import RunningClock
 
 LOG = logbook.Logger("instance")
 
@@ -60,7 +60,7 @@
 
     def __init__(self, settings: EntrySettings, rng: Random) -> None:
         self.settings = settings
-        self.clock = Clock()
+        self.clock = RunningClock()
         self.link = PeerLink(create_peer_transport(settings.peer_address, None))
         now_s = self.clock.now_s()
         self.shared = SharedView(settings.instance_id, settings.peer_address)
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -37,7 +37,9 @@
 
 LOG = logbook.Logger("view")
 
-OPERATOR_WAIT_MS = 10_000
+# A read on a connection that went silent is given up soon enough for a change to be
+# in force in time.
+OPERATOR_WAIT_MS = 1_500
 # Changes that follow one another quickly are read together.
 OPERATOR_PAUSE_S = 0.25
 RETRY_OPERATORS_S = 0.5
--- a/packages/baobabring/baobabring/utils/__init__.py
+++ b/packages/baobabring/baobabring/utils/__init__.py
@@ -1,5 +1,5 @@
 """What several parts of the shell share."""
 
-from baobabring.utils._clock import Clock
+from baobabring.utils._clock import Clock, RunningClock
 
-__all__ = ["Clock"]
+__all__ = ["Clock", "RunningClock"]
--- a/packages/baobabring/baobabring/utils/tests/test_clock.py
+++ b/packages/baobabring/baobabring/utils/tests/test_clock.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from baobabring.utils import Clock, _clock
+from baobabring.utils import Clock, RunningClock, _clock
 
 
 class FakeTime:
@@ -50,3 +50,10 @@
     assert clock.now_s() == 1_600.0
     fake_time.running_s += 1.0
     assert clock.now_s() == 1_601.0
+
+
+def test_running_clock_ignores_steps_of_the_time_of_day(monkeypatch):
+    clock = RunningClock()
+    before_s = clock.now_s()
+    monkeypatch.setattr(_clock.time, "time", lambda: 4e9)
+    assert 0 <= clock.now_s() - before_s < 60
