Tell peers what changed in the view, not the whole view

Ruled out: answers to callers (under 2 MB) and questions (about 2.5 MB).

Conclusion: deltas against the digest that peers have; one that doesn't fit is followed by a beat, which makes the peer ask for the whole.

--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -15,6 +15,7 @@
     InstanceAlive,
     TargetFailures,
     ViewBeat,
+    ViewDelta,
     ViewRequest,
     ViewState,
 )
@@ -102,6 +103,7 @@
     "TargetRemoved",
     "Undetermined",
     "ViewBeat",
+    "ViewDelta",
     "ViewRequest",
     "ViewState",
     "WeightedService",
--- a/packages/baobabring/baobabring/entry/_messages.py
+++ b/packages/baobabring/baobabring/entry/_messages.py
@@ -48,6 +48,23 @@
     zones_out: list[str]
 
 
+class ViewDelta(msgspec.Struct, array_like=True, frozen=True):
+    """Pass on what changed since the view whose digest is `base_digest`.
+
+    Without a `configuration` that did not change; `zones_out` is always whole.
+    """
+
+    sender: str
+    base_digest: int
+    operator_offset: int
+    target_offset: int
+    age_ms: float
+    configuration: EntryConfiguration | None
+    targets: list[EntryTarget]
+    removed: list[str]
+    zones_out: list[str]
+
+
 class ViewRequest(msgspec.Struct, array_like=True, frozen=True):
     """Ask a peer for its whole view."""
 
--- a/packages/baobabring/baobabring/entry/_shared_view.py
+++ b/packages/baobabring/baobabring/entry/_shared_view.py
@@ -5,8 +5,15 @@
 import msgspec
 import xxhash
 
-from baobabring.entry._messages import ViewBeat, ViewState
-from baobabring.entry._view import ConfigurationPublished, FleetEvent, FleetView
+from baobabring.entry._messages import ViewBeat, ViewDelta, ViewState
+from baobabring.entry._model import EntryTarget
+from baobabring.entry._view import (
+    ConfigurationPublished,
+    FleetEvent,
+    FleetView,
+    TargetRegistered,
+    TargetRemoved,
+)
 
 # A view that nobody has confirmed for this long may have missed an outage.
 STORE_AWAY_S = 2.5
@@ -26,6 +33,9 @@
         self.confirmed_at_s: float | None = None
         self.version = 0
         self._digest: tuple[int, int] = (-1, 0)
+        self._told_targets: dict[str, EntryTarget] = {}
+        self._told_configuration = 0
+        self._told_digest = 0
 
     @property
     def complete(self) -> bool:
@@ -105,6 +115,61 @@
             zones_out=sorted(self.view.zones_out),
         )
 
+    def mark_told(self) -> None:
+        """Take the present view as the one that peers know."""
+        self._told_targets = self.view.registered()
+        self._told_configuration = self.view.configuration.version
+        self._told_digest = self.digest()
+
+    def delta(self, now_s: float) -> ViewDelta | None:
+        """Return the message that holds what peers don't know; None if nothing."""
+        if self.digest() == self._told_digest:
+            return None
+        targets = self.view.registered()
+        known = self._told_targets
+        changed = [
+            target
+            for target_id, target in targets.items()
+            if target_id not in known or not known[target_id].same_use(target)
+        ]
+        configuration = self.view.configuration
+        return ViewDelta(
+            sender=self.instance_id,
+            base_digest=self._told_digest,
+            operator_offset=self.operator_offset,
+            target_offset=self.target_offset,
+            age_ms=self._age_ms(now_s),
+            configuration=(
+                configuration
+                if configuration.version != self._told_configuration
+                else None
+            ),
+            targets=changed,
+            removed=[target_id for target_id in known if target_id not in targets],
+            zones_out=sorted(self.view.zones_out),
+        )
+
+    def heard_delta(self, delta: ViewDelta, now_s: float) -> bool | None:
+        """Take in what changed; return whether that changed ours.
+
+        None means that the delta is for another view than ours, and the whole view
+        is needed.
+        """
+        if self._is_behind_us(delta):
+            return False
+        if delta.base_digest != self.digest():
+            return None
+        events: list[FleetEvent] = [TargetRegistered(t) for t in delta.targets]
+        events += [TargetRemoved(target_id) for target_id in delta.removed]
+        if delta.configuration is not None:
+            events.append(ConfigurationPublished(delta.configuration))
+        changed = self.apply(events, now_s)
+        changed |= self.replace_zones_out(delta.zones_out)
+        self.operator_offset = delta.operator_offset
+        self.target_offset = delta.target_offset
+        self.confirm(now_s - delta.age_ms / 1_000)
+        return changed
+
     def heard_beat(self, beat: ViewBeat, now_s: float) -> bool:
         """Take in a peer's confirmation; return whether its view is needed."""
         if self._is_behind_us(beat):
@@ -130,10 +195,10 @@
             self.confirm(now_s - state.age_ms / 1_000)
         return changed
 
-    def _is_behind_us(self, beat: ViewBeat) -> bool:
+    def _is_behind_us(self, message: ViewBeat | ViewDelta) -> bool:
         return (
-            beat.operator_offset < self.operator_offset
-            or beat.target_offset < self.target_offset
+            message.operator_offset < self.operator_offset
+            or message.target_offset < self.target_offset
         )
 
     def _age_ms(self, now_s: float) -> float:
--- a/packages/baobabring/baobabring/entry/_view.py
+++ b/packages/baobabring/baobabring/entry/_view.py
@@ -123,12 +123,19 @@
                 del self._tombstones[target_id]
         return bool(due)
 
+    def registered(self) -> dict[str, EntryTarget]:
+        """Return the targets whose registration has not gone, by id."""
+        return {
+            target_id: target
+            for target_id, target in self.targets.items()
+            if target_id not in self._remove_at_s
+        }
+
     def digest_fields(self) -> tuple:
         """Return what two instances with the same view have in common."""
         targets = sorted(
             (t.target_id, t.started_at_ms, t.draining, t.address)
-            for t in self.targets.values()
-            if t.target_id not in self._remove_at_s
+            for t in self.registered().values()
         )
         return (self.configuration.version, targets, sorted(self.zones_out))
 
--- a/packages/baobabring/baobabring/entry/tests/test_shared_view.py
+++ b/packages/baobabring/baobabring/entry/tests/test_shared_view.py
@@ -65,3 +65,34 @@
     reader.confirm(20.0)
     assert reader.tick(22.1)
     assert "t-1" not in reader.view.targets
+
+
+def test_delta_brings_a_peer_up_to_date_and_is_small():
+    reader = build_reader()
+    other = SharedView("other", "10.0.0.2:1")
+    other.heard_state(reader.state(10.0), 10.0)
+    reader.mark_told()
+    reader.apply([TargetRegistered(build_target("t-2"))], 10.5)
+    reader.apply([TargetRemoved("t-1")], 10.5)
+    reader.target_offset = 3
+    delta = reader.delta(10.5)
+    assert delta.configuration is None
+    assert other.heard_delta(delta, 10.6)
+    assert other.digest() == reader.digest()
+    assert other.target_offset == 3
+
+
+def test_delta_to_another_view_asks_for_the_whole():
+    reader = build_reader()
+    reader.mark_told()
+    reader.apply([TargetRegistered(build_target("t-2"))], 10.5)
+    other = SharedView("other", "10.0.0.2:1")
+    assert other.heard_delta(reader.delta(10.5), 10.6) is None
+    assert other.heard_beat(reader.beat({}, 0.0, 10.6), 10.6)
+
+
+def test_renewals_alone_make_no_delta():
+    reader = build_reader()
+    reader.mark_told()
+    reader.apply([TargetRegistered(build_target(sequence=9))], 10.5)
+    assert reader.delta(10.5) is None
--- a/packages/baobabring/baobabring/peers/_frames.py
+++ b/packages/baobabring/baobabring/peers/_frames.py
@@ -10,6 +10,7 @@
     InstanceAlive,
     TargetFailures,
     ViewBeat,
+    ViewDelta,
     ViewRequest,
     ViewState,
 )
@@ -43,6 +44,7 @@
     | InstanceAlive
     | ViewBeat
     | ViewState
+    | ViewDelta
     | ViewRequest
     | TargetFailures
 )
@@ -61,6 +63,7 @@
     VIEW_STATE = 8
     VIEW_REQUEST = 9
     TARGET_FAILURES = 10
+    VIEW_DELTA = 11
 
 
 MESSAGE_TYPES = {
@@ -74,6 +77,7 @@
     MessageKind.VIEW_STATE: ViewState,
     MessageKind.VIEW_REQUEST: ViewRequest,
     MessageKind.TARGET_FAILURES: TargetFailures,
+    MessageKind.VIEW_DELTA: ViewDelta,
 }
 KINDS = {message_type: kind for kind, message_type in MESSAGE_TYPES.items()}
 HEADER_BYTES = 2
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -12,6 +12,7 @@
     SharedView,
     TargetRegistered,
     ViewBeat,
+    ViewDelta,
     ViewRequest,
     ViewState,
     ZoneTakenOut,
@@ -72,10 +73,10 @@
         self._operators_known = False
         self._targets_known = False
         self._store_lost = False
-        self._told_version = 0
         self._wake = asyncio.Event()
         link.subscribe(ViewBeat, self._heard_beat)
         link.subscribe(ViewState, self._heard_state)
+        link.subscribe(ViewDelta, self._heard_delta)
         link.subscribe(ViewRequest, self._heard_request)
         peers.welcome = self._welcome
 
@@ -235,9 +236,10 @@
 
     def _tell_peers(self) -> None:
         now_s = self.clock.now_s()
-        if self.shared.version != self._told_version:
-            self._told_version = self.shared.version
-            self.link.broadcast(self.shared.state(now_s))
+        delta = self.shared.delta(now_s)
+        if delta is not None:
+            self.shared.mark_told()
+            self.link.broadcast(delta)
         self.peers.adopt_fleet_rate(self.peers.fleet_rate())
         self.link.broadcast(self._beat(now_s))
 
@@ -263,10 +265,20 @@
         self._operators_known = self._targets_known = True
         confirmed_at_s = now_s - state.age_ms / 1_000
         self.schedule.confirmed_by_peer(state.sender, confirmed_at_s, now_s)
+        self.shared.mark_told()
         if changed:
-            self._told_version = self.shared.version
             self._changed("view of a peer", peer=state.sender)
 
+    def _heard_delta(self, delta: ViewDelta) -> None:
+        now_s = self.clock.now_s()
+        changed = self.shared.heard_delta(delta, now_s)
+        if changed is None:
+            # The beat that follows tells where the whole view is to be had.
+            return
+        self.shared.mark_told()
+        if changed:
+            self._changed("change from a peer", peer=delta.sender)
+
     def _heard_request(self, request: ViewRequest) -> None:
         if self.shared.complete:
             now_s = self.clock.now_s()
