Bound what instances tell each other and what targets they use; take up changed settings

A share of what the fleet may do counts instances that fell silent for a minute, so that one cut off does not take the whole. A settings file that changed is taken up, with or without the signal; a faulty one is told and not used.

--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -13,7 +13,6 @@
 from baobabring.entry._hedging import hedge_at_s
 from baobabring.entry._messages import (
     InstanceAlive,
-    TargetFailures,
     ViewBeat,
     ViewDelta,
     ViewRequest,
@@ -43,10 +42,10 @@
     Undetermined,
 )
 from baobabring.entry._question_budget import QuestionBudget
-from baobabring.entry._read_schedule import ReadSchedule
+from baobabring.entry._read_schedule import ReadSchedule, reader_order
 from baobabring.entry._routes import RouteTable, WeightedTurns
 from baobabring.entry._settings import EntrySettings, FleetLimits
-from baobabring.entry._shared_view import SharedView
+from baobabring.entry._shared_view import FleetNews, SharedView
 from baobabring.entry._target_book import HealthReport, TargetBook, TargetRecord
 from baobabring.entry._view import (
     ConfigurationPublished,
@@ -81,6 +80,7 @@
     "EntryTarget",
     "FleetEvent",
     "FleetLimits",
+    "FleetNews",
     "FleetView",
     "HealthReport",
     "InstanceAlive",
@@ -97,7 +97,6 @@
     "TargetAnswer",
     "TargetBook",
     "TargetChoice",
-    "TargetFailures",
     "TargetRecord",
     "TargetRegistered",
     "TargetRemoved",
@@ -112,4 +111,5 @@
     "ZoneReturned",
     "ZoneTakenOut",
     "hedge_at_s",
+    "reader_order",
 ]
--- a/packages/baobabring/baobabring/entry/_admission.py
+++ b/packages/baobabring/baobabring/entry/_admission.py
@@ -14,6 +14,9 @@
 LEAST_RETRY_AFTER_S = 0.03
 # Callers wait at most a third of their time before they come back.
 RETRY_SHARE_OF_TIME_LEFT = 0.3
+# Work often takes longer than expected; a call that would just make its deadline had
+# better come back than run in vain.
+DEADLINE_MARGIN = 1.25
 # Less urgent calls leave room in the targets' queues for more urgent ones.
 GOAL_SHARE_BY_PRIORITY = (0.95, 0.85, 0.75, 0.65)
 
@@ -60,14 +63,14 @@
         """Decide by the offers, best first; `others_left` tells of unasked targets."""
         free = next((offer for offer in offers if offer.free_slot), None)
         best = min(offers, key=lambda offer: offer.finish_ms, default=None)
-        if free is not None and self._in_time(free, call.answer_by_s, now_s):
+        if free is not None and self._can_be_served(free, call, now_s):
             return SendCall(_best_of(offers, free).target_id, free.finish_ms)
         if others_left:
             return AskAgain(now_s)
         if best is not None:
             if self._in_time(best, self._queue_until_s(call), now_s):
                 return SendCall(best.target_id, best.finish_ms)
-            if not self._in_time(best, call.answer_by_s, now_s):
+            if not self._can_be_served(best, call, now_s):
                 return self.refuse(call, best.finish_ms / 2, "too-late", now_s)
         if now_s < self._wait_until_s(call):
             return AskAgain(now_s + ASK_AGAIN_S * self.rng.uniform(0.7, 1.3))
@@ -84,6 +87,9 @@
         after_s = max(after_s, LEAST_RETRY_AFTER_S)
         return RefuseCall(now_s + after_s, reason)
 
+    def _can_be_served(self, offer: Offer, call: EntryCall, now_s: float) -> bool:
+        return now_s + DEADLINE_MARGIN * offer.finish_ms / 1_000 <= call.answer_by_s
+
     def _in_time(self, offer: Offer, until_s: float, now_s: float) -> bool:
         return now_s + offer.finish_ms / 1_000 <= until_s
 
--- a/packages/baobabring/baobabring/entry/_messages.py
+++ b/packages/baobabring/baobabring/entry/_messages.py
@@ -6,14 +6,16 @@
 
 
 class InstanceAlive(msgspec.Struct, array_like=True, frozen=True):
-    """Tell that an instance runs, where its peers reach it and what it asks.
+    """Tell the reader that an instance runs, what it asks targets and what failed.
 
     One that is joining knows nothing yet; the reader answers with its view.
+    `failures` counts failed calls by target since the last such message.
     """
 
     sender: str
     address: str
     questions_per_s: float = 0.0
+    failures: dict[str, int] = {}
     joining: bool = False
     leaving: bool = False
 
@@ -22,8 +24,9 @@
     """Tell that the view was confirmed by the store `age_ms` ago.
 
     `operator_offset` and `target_offset` are where reading goes on. `instances` maps
-    the ids of the instances that live to their addresses; `questions_per_s` is what
-    all of them ask targets.
+    the ids of the instances that live to their addresses, None while that is as told
+    before; `questions_per_s` is what all of them ask targets and `failures` counts
+    their failed calls by target since the last beat.
     """
 
     sender: str
@@ -32,8 +35,9 @@
     target_offset: int
     age_ms: float
     digest: int
-    instances: dict[str, str]
+    instances: dict[str, str] | None
     questions_per_s: float
+    failures: dict[str, int]
 
 
 class ViewState(msgspec.Struct, array_like=True, frozen=True):
@@ -70,10 +74,3 @@
 
     sender: str
     reply_address: str
-
-
-class TargetFailures(msgspec.Struct, array_like=True, frozen=True):
-    """Tell how many calls failed at targets since the last such message."""
-
-    sender: str
-    counts: dict[str, int]
--- a/packages/baobabring/baobabring/entry/_read_schedule.py
+++ b/packages/baobabring/baobabring/entry/_read_schedule.py
@@ -33,7 +33,7 @@
 
     def set_instances(self, instance_ids: Collection[str]) -> None:
         """Take the instances among which readers are found."""
-        ordered = sorted({*instance_ids, self.instance_id}, key=_order)
+        ordered = sorted({*instance_ids, self.instance_id}, key=reader_order)
         self._rank = min(ordered.index(self.instance_id), TAKEOVER_STEPS_LIMIT)
 
     def next_read_at_s(self) -> float:
@@ -69,10 +69,13 @@
         # Of two readers the one that comes first goes on.
         if self.is_reader and fresh:
             own_age_s = now_s - self._confirmed_at_s
-            if own_age_s > TAKEOVER_S or _order(peer_id) < _order(self.instance_id):
+            if own_age_s > TAKEOVER_S or reader_order(peer_id) < reader_order(
+                self.instance_id
+            ):
                 self.is_reader = False
         self._confirmed_at_s = max(at_s, self._confirmed_at_s)
 
 
-def _order(instance_id: str) -> int:
+def reader_order(instance_id: str) -> int:
+    """Return by what instances are ordered when one of them is to read."""
     return xxhash.xxh64_intdigest(instance_id.encode())
--- a/packages/baobabring/baobabring/entry/_shared_view.py
+++ b/packages/baobabring/baobabring/entry/_shared_view.py
@@ -1,6 +1,7 @@
 """View of the fleet that instances share, so that few of them read the store."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 import msgspec
 import xxhash
@@ -21,6 +22,18 @@
 _encoder = msgspec.msgpack.Encoder()
 
 
+@dataclass(frozen=True, slots=True)
+class FleetNews:
+    """Hold what the reader tells of all instances, besides the view.
+
+    `instances` maps ids to addresses, None while that is as told before.
+    """
+
+    instances: dict[str, str] | None = None
+    questions_per_s: float = 0.0
+    failures: dict[str, int] = field(default_factory=dict)
+
+
 class SharedView:
     """Hold the view with the offsets up to which the store was read for it."""
 
@@ -88,9 +101,7 @@
             self._digest = (self.version, xxhash.xxh64_intdigest(fields))
         return self._digest[1]
 
-    def beat(
-        self, instances: dict[str, str], questions_per_s: float, now_s: float
-    ) -> ViewBeat:
+    def beat(self, fleet: FleetNews, now_s: float) -> ViewBeat:
         """Return the message that confirms the view to peers."""
         return ViewBeat(
             sender=self.instance_id,
@@ -99,8 +110,9 @@
             target_offset=self.target_offset,
             age_ms=self._age_ms(now_s),
             digest=self.digest(),
-            instances=instances,
-            questions_per_s=questions_per_s,
+            instances=fleet.instances,
+            questions_per_s=fleet.questions_per_s,
+            failures=fleet.failures,
         )
 
     def state(self, now_s: float) -> ViewState:
--- a/packages/baobabring/baobabring/entry/_target_book.py
+++ b/packages/baobabring/baobabring/entry/_target_book.py
@@ -5,6 +5,7 @@
 
 from baobabring.entry._decay import DecayingCount
 from baobabring.entry._model import EntryTarget, LoadReport
+from baobabring.entry._subsets import choose_subset
 
 FAILURE_HALF_LIFE_S = 3.0
 # A few calls that went well stand in for those that nobody has made yet.
@@ -94,9 +95,11 @@
 
 
 class TargetBook:
-    """Keep the records of all targets, by service."""
+    """Keep the records of all targets, and by service those that an instance uses."""
 
-    def __init__(self) -> None:
+    def __init__(self, instance_id: str, zone: str) -> None:
+        self.instance_id = instance_id
+        self.zone = zone
         self._records: dict[str, TargetRecord] = {}
         self._by_service: dict[str, list[TargetRecord]] = {}
         self._zones_out: frozenset[str] = frozenset()
@@ -114,11 +117,14 @@
             for target in targets
         }
         self._zones_out = frozenset(zones_out)
-        self._by_service = {}
-        for record in self._records.values():
-            if self._may_work(record.target):
-                service = self._by_service.setdefault(record.target.service_id, [])
-                service.append(record)
+        by_service: dict[str, list[EntryTarget]] = {}
+        for target in targets:
+            if self._may_work(target):
+                by_service.setdefault(target.service_id, []).append(target)
+        self._by_service = {
+            service_id: self._used_records(service_targets)
+            for service_id, service_targets in by_service.items()
+        }
         return [target_id for target_id in previous if target_id not in self._records]
 
     def record(self, target_id: str) -> TargetRecord | None:
@@ -126,7 +132,7 @@
         return self._records.get(target_id)
 
     def usable(self, service_id: str) -> list[TargetRecord]:
-        """Return the targets of a service that may get new work."""
+        """Return the targets of a service that this instance gives new work."""
         return self._by_service.get(service_id, [])
 
     def may_work(self, target_id: str) -> bool:
@@ -137,6 +143,10 @@
     def __len__(self) -> int:
         return len(self._records)
 
+    def _used_records(self, targets: list[EntryTarget]) -> list[TargetRecord]:
+        subset = choose_subset(self.instance_id, self.zone, targets)
+        return [self._records[target.target_id] for target in subset]
+
     def _may_work(self, target: EntryTarget) -> bool:
         return not target.draining and target.zone not in self._zones_out
 
--- a/packages/baobabring/baobabring/entry/tests/test_admission.py
+++ b/packages/baobabring/baobabring/entry/tests/test_admission.py
@@ -83,3 +83,13 @@
         admission.refuse(call, 5_000.0, "overload", 0.0).retry_at_s for _ in range(50)
     ]
     assert max(times) <= 0.6 / 3
+
+
+def test_free_slot_that_would_just_make_the_deadline_is_not_taken(admission):
+    call = build_call(build_route(idempotent=False), wait_s=1.2)
+    offers = [build_offer(finish_ms=1_100.0)]
+    decision = admission.decide(call, offers, False, 0.0)
+    assert isinstance(decision, RefuseCall)
+    assert isinstance(
+        admission.decide(call, [build_offer(finish_ms=900.0)], False, 0.0), SendCall
+    )
--- a/packages/baobabring/baobabring/entry/tests/test_choice.py
+++ b/packages/baobabring/baobabring/entry/tests/test_choice.py
@@ -22,7 +22,7 @@
 
 def build_choice(targets, zones_out=()) -> TargetChoice:
     """Return the choice of an instance in the zone `north`."""
-    book = TargetBook()
+    book = TargetBook("i-1", "north")
     book.set_targets(targets, zones_out, 0.0)
     choice = TargetChoice(
         "north", ChoiceSettings(), book, WorkEstimates(), ColdLimit("i-1"), Random(1)
--- a/packages/baobabring/baobabring/peers/_frames.py
+++ b/packages/baobabring/baobabring/peers/_frames.py
@@ -8,7 +8,6 @@
 from baobabring.balancing import InFlightUpdate
 from baobabring.entry import (
     InstanceAlive,
-    TargetFailures,
     ViewBeat,
     ViewDelta,
     ViewRequest,
@@ -46,7 +45,6 @@
     | ViewState
     | ViewDelta
     | ViewRequest
-    | TargetFailures
 )
 
 
@@ -62,8 +60,7 @@
     VIEW_BEAT = 7
     VIEW_STATE = 8
     VIEW_REQUEST = 9
-    TARGET_FAILURES = 10
-    VIEW_DELTA = 11
+    VIEW_DELTA = 10
 
 
 MESSAGE_TYPES = {
@@ -76,7 +73,6 @@
     MessageKind.VIEW_BEAT: ViewBeat,
     MessageKind.VIEW_STATE: ViewState,
     MessageKind.VIEW_REQUEST: ViewRequest,
-    MessageKind.TARGET_FAILURES: TargetFailures,
     MessageKind.VIEW_DELTA: ViewDelta,
 }
 KINDS = {message_type: kind for kind, message_type in MESSAGE_TYPES.items()}
--- a/packages/baobabring/baobabring/program/entry/_failure_notices.py
+++ b/packages/baobabring/baobabring/program/entry/_failure_notices.py
@@ -1,36 +1,62 @@
-"""Failures of targets, told to all instances."""
+"""Failures of targets that instances tell each other through the reader."""
 
-from baobabring.entry import TargetBook, TargetFailures
-from baobabring.program._peer_link import PeerLink
+from baobabring.entry import TargetBook
 from baobabring.utils import Clock
 
+Counts = dict[str, int]
+
 
 class FailureNotices:
-    """Gather failures for a moment and tell them in one message."""
+    """Gather failed calls by target, and take in what the whole fleet saw.
+
+    Own failures count at once; the reader's totals contain them again later, so that
+    only what goes beyond them is added then.
+    """
 
-    def __init__(
-        self, instance_id: str, link: PeerLink, book: TargetBook, clock: Clock
-    ) -> None:
-        self.instance_id = instance_id
-        self.link = link
+    def __init__(self, book: TargetBook, clock: Clock) -> None:
         self.book = book
         self.clock = clock
-        self._counts: dict[str, int] = {}
-        link.subscribe(TargetFailures, self._heard)
+        self._unsent: Counts = {}
+        self._sent: Counts = {}
+        self._collected: Counts = {}
 
     def add(self, target_id: str) -> None:
         """Count a failure that this instance saw."""
-        self._counts[target_id] = self._counts.get(target_id, 0) + 1
-
-    def flush(self) -> None:
-        """Tell the failures counted since the last time."""
-        if self._counts:
-            self.link.broadcast(TargetFailures(self.instance_id, self._counts))
-            self._counts = {}
-
-    def _heard(self, message: TargetFailures) -> None:
-        now_s = self.clock.now_s()
-        for target_id, count in message.counts.items():
-            record = self.book.record(target_id)
-            if record is not None:
-                record.add_failure(now_s, count)
+        self._unsent[target_id] = self._unsent.get(target_id, 0) + 1
+        self._record(target_id, 1)
+
+    def take_unsent(self) -> Counts:
+        """Return what the reader has not been told yet."""
+        counts, self._unsent = self._unsent, {}
+        _add(self._sent, counts)
+        return counts
+
+    def collect(self, counts: Counts) -> None:
+        """Take in, as the reader, what an instance saw."""
+        _add(self._collected, counts)
+
+    def take_collected(self) -> Counts:
+        """Return, as the reader, what all instances saw since the last time."""
+        self.collect(self.take_unsent())
+        counts, self._collected = self._collected, {}
+        self.heard_totals(counts)
+        return counts
+
+    def heard_totals(self, counts: Counts) -> None:
+        """Take in what all instances saw."""
+        for target_id, count in counts.items():
+            own = min(count, self._sent.get(target_id, 0))
+            if own:
+                self._sent[target_id] -= own
+            if count > own:
+                self._record(target_id, count - own)
+
+    def _record(self, target_id: str, count: int) -> None:
+        record = self.book.record(target_id)
+        if record is not None:
+            record.add_failure(self.clock.now_s(), count)
+
+
+def _add(total: Counts, counts: Counts) -> None:
+    for target_id, count in counts.items():
+        total[target_id] = total.get(target_id, 0) + count
--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -272,7 +272,7 @@
             return
         progress.may_have_run = True
         if isinstance(end, AttemptLost) or _is_failure(end):
-            self._note_failure(record, self.clock.now_s())
+            self.notices.add(record.target.target_id)
 
     async def _exchange(
         self, progress: CallProgress, chosen: Assigned, request: bytes
@@ -360,10 +360,6 @@
             return Delivered(progress.last_answer)
         return Undetermined(problem)
 
-    def _note_failure(self, record: TargetRecord, now_s: float) -> None:
-        record.add_failure(now_s)
-        self.notices.add(record.target.target_id)
-
 
 def _is_failure(end: AttemptAnswered) -> bool:
     return end.answer.status in FAILURE_STATUSES
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import signal
+from dataclasses import replace
+from pathlib import Path
 from random import Random
 
 import logbook
@@ -34,6 +36,7 @@
 from baobabring.program.entry._metrics import TARGETS, VIEW_AGE
 from baobabring.program.entry._peer_task import PeerTask
 from baobabring.program.entry._server import HttpServer
+from baobabring.program.entry._settings_task import SettingsTask
 from baobabring.program.entry._view_task import ViewTask
 from baobabring.retries import RetryBudget, RetrySettings
 from baobabring.utils import RunningClock
@@ -41,31 +44,33 @@
 LOG = logbook.Logger("instance")
 
 METRICS_PORT = 9_100
-HOUSEKEEPING_S = 0.1
-CLOSE_IDLE_INTERVAL_S = 1.0
+HOUSEKEEPING_S = 1.0
 # The platform's balancer sends connections until it has missed two answers.
 BALANCER_LAG_S = 3.0
 SHUTDOWN_MARGIN_S = 0.8
 LEAVE_POLL_S = 0.05
 IDLE_TIMEOUT_MARGIN_S = 3.0
 MS_PER_S = 1_000
-# Callers' repeats of one instance count in two windows that overlap.
-RETRY_BURST_SHARE = 0.3
+# What is saved up and what is earned in one window make up the allowance.
+RETRY_BURST_SHARE = 0.6
 RETRY_FLOOR_SHARE = 0.4
-RETRY_PLANNED_SHARE = 0.75
+RETRY_PLANNED_SHARE = 0.85
 
 
 class EntryInstance:
     """Own the parts and the tasks of an entry instance."""
 
-    def __init__(self, settings: EntrySettings, rng: Random) -> None:
+    def __init__(self, settings: EntrySettings, path: Path, rng: Random) -> None:
         self.settings = settings
+        self.settings_task = SettingsTask(path, settings, self._apply_settings)
         self.clock = RunningClock()
         self.link = PeerLink(create_peer_transport(settings.peer_address, None))
         now_s = self.clock.now_s()
         self.shared = SharedView(settings.instance_id, settings.peer_address)
         self.schedule = ReadSchedule(settings.instance_id, now_s)
         self.store = StoreClient(settings.store_address, ConnectionPool())
+        self.book = TargetBook(settings.instance_id, settings.zone)
+        self.notices = FailureNotices(self.book, self.clock)
         self.budget = QuestionBudget(settings.limits.questions_per_target_s)
         self.peers = PeerTask(
             settings.instance_id,
@@ -73,13 +78,13 @@
             self.store,
             self.link,
             self.budget,
+            self.notices,
             self.clock,
         )
         self.peers.is_reader = lambda: self.schedule.is_reader
         self.view_task = ViewTask(
             self.shared, self.schedule, self.store, self.link, self.peers, self.clock
         )
-        self.book = TargetBook()
         self.cold_limit = ColdLimit(settings.instance_id)
         self.choice = TargetChoice(
             settings.zone,
@@ -90,9 +95,6 @@
             rng,
         )
         self.retry_budget = RetryBudget(retry_settings(settings.limits, 1))
-        self.notices = FailureNotices(
-            settings.instance_id, self.link, self.book, self.clock
-        )
         self.pool = ConnectionPool()
         forwarder = Forwarder(
             self.choice,
@@ -120,7 +122,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._leaving.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.settings_task.reload, "signal")
         self.link.start()
         self.view_task.add_listener(self._view_changed)
         self.peers.add_listener(self._instances_changed)
@@ -147,19 +149,15 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.view_task.run())
             group.create_task(self.peers.run())
+            group.create_task(self.settings_task.run())
             group.create_task(self._keep_house())
 
     async def _keep_house(self) -> None:
-        close_idle_at_s = 0.0
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
-            self.notices.flush()
-            now_s = self.clock.now_s()
-            if now_s >= close_idle_at_s:
-                close_idle_at_s = now_s + CLOSE_IDLE_INTERVAL_S
-                self.pool.close_idle()
-                if self.shared.confirmed_at_s is not None:
-                    VIEW_AGE.set(now_s - self.shared.confirmed_at_s)
+            self.pool.close_idle()
+            if self.shared.confirmed_at_s is not None:
+                VIEW_AGE.set(self.clock.now_s() - self.shared.confirmed_at_s)
 
     def _view_changed(self) -> None:
         view = self.shared.view
@@ -178,11 +176,11 @@
     def _instances_changed(self) -> None:
         instances = self.peers.live()
         self.choice.instances = len(instances)
-        self.cold_limit.set_instances(instances)
         self.schedule.set_instances(instances)
-        self.retry_budget.settings = retry_settings(
-            self.settings.limits, len(instances)
-        )
+        # Shares of what the fleet may do hold also while peers are only out of reach.
+        known = self.peers.known()
+        self.cold_limit.set_instances(known)
+        self.retry_budget.settings = retry_settings(self.settings.limits, len(known))
 
     def _judge_readiness(self) -> None:
         ready = self.shared.complete and not self._leaving.is_set()
@@ -190,9 +188,11 @@
             self.calls.ready = ready
             LOG.info("readiness", ready=ready, targets=len(self.shared.view.targets))
 
-    def _reload(self) -> None:
-        # Every setting names the instance or an address, which a start fixes.
-        LOG.info("reload", changed=False)
+    def _apply_settings(self, settings: EntrySettings) -> None:
+        """Take over limits; who the instance is and where it listens stays."""
+        self.settings = replace(self.settings, limits=settings.limits)
+        self.budget.questions_per_target_s = settings.limits.questions_per_target_s
+        self._instances_changed()
 
     async def _leave(self) -> None:
         started_at_s = self.clock.now_s()
--- a/packages/baobabring/baobabring/program/entry/_main.py
+++ b/packages/baobabring/baobabring/program/entry/_main.py
@@ -11,6 +11,7 @@
 from absl import app, flags
 from logbook.compat import RedirectLoggingHandler
 
+from baobabring.entry import EntrySettings
 from baobabring.platform.node_settings import (
     SETTINGS_VARIABLE,
     InvalidNodeSettingsError,
@@ -32,7 +33,8 @@
         print(usage + SETTINGS_VARIABLE, file=sys.stderr)
         return EXIT_INVALID_SETTINGS
     try:
-        settings = read_node_settings(Path(name))
+        path = Path(name)
+        settings = read_node_settings(path)
     except InvalidNodeSettingsError as error:
         for finding in error.findings:
             print(finding, file=sys.stderr)
@@ -42,12 +44,12 @@
         return EXIT_OK
     logging.getLogger().handlers = [RedirectLoggingHandler()]
     with LineHandler().applicationbound():
-        uvloop.run(_serve(settings))
+        uvloop.run(_serve(settings, path))
     return EXIT_OK
 
 
-async def _serve(settings) -> None:
-    instance = EntryInstance(settings, Random())
+async def _serve(settings: EntrySettings, path: Path) -> None:
+    instance = EntryInstance(settings, path, Random())
     # What is there at the start stays, so that collections need not visit it.
     gc.freeze()
     await instance.run()
--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -6,18 +6,29 @@
 
 import logbook
 
-from baobabring.entry import InstanceAlive, QuestionBudget
+from baobabring.entry import (
+    FleetNews,
+    InstanceAlive,
+    QuestionBudget,
+    ViewBeat,
+    reader_order,
+)
 from baobabring.platform.store import StoreClient, StoreFailed
 from baobabring.program._peer_link import PeerLink
+from baobabring.program.entry._failure_notices import FailureNotices
 from baobabring.program.entry._metrics import STORE_CALLS
 from baobabring.utils import Clock
 
 LOG = logbook.Logger("peers")
 
 INSTANCE_TOPIC = "keyed.instances"
-ALIVE_INTERVAL_S = 1.0
+ALIVE_INTERVAL_S = 0.5
+# An instance that knows no reader tells these, the likeliest ones.
+CONTACTS = 3
 # The reader drops instances that were silent for a few intervals.
 SILENT_S = 6.0
+# A peer that fell silent may still run, and counts in shared limits for this long.
+REMEMBERED_S = 60.0
 RETRY_S = 0.5
 RETRY_LIMIT_S = 4.0
 
@@ -41,6 +52,7 @@
         store: StoreClient,
         link: PeerLink,
         budget: QuestionBudget,
+        notices: FailureNotices,
         clock: Clock,
     ) -> None:
         self.instance_id = instance_id
@@ -48,6 +60,7 @@
         self.store = store
         self.link = link
         self.budget = budget
+        self.notices = notices
         self.clock = clock
         self.reader_address: str | None = None
         self.is_reader: Callable[[], bool] = lambda: False
@@ -55,6 +68,8 @@
         self.joined = asyncio.Event()
         self._peers: dict[str, _Peer] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._silent_until_s: dict[str, float] = {}
+        self._told_instances: dict[str, str] = {}
         self._questions_per_s = 0.0
         link.subscribe(InstanceAlive, self._heard_alive)
 
@@ -68,6 +83,12 @@
         addresses[self.instance_id] = self.address
         return addresses
 
+    def known(self) -> frozenset[str]:
+        """Return the ids of all instances that may run, silent ones included."""
+        now_s = self.clock.now_s()
+        silent = {p for p, until_s in self._silent_until_s.items() if until_s > now_s}
+        return frozenset(self._peers) | silent | {self.instance_id}
+
     def fleet_rate(self) -> float:
         """Return the questions that all instances asked in the last second."""
         peers_per_s = sum(peer.questions_per_s for peer in self._peers.values())
@@ -100,7 +121,7 @@
                 self._peers[peer_id] = _Peer(address, now_s)
         for peer_id in self._peers.keys() - instances.keys():
             if now_s - self._peers[peer_id].heard_at_s > SILENT_S:
-                del self._peers[peer_id]
+                self._forget(peer_id, now_s)
         if self.live() != before:
             self._changed()
 
@@ -112,15 +133,50 @@
             self._questions_per_s = self.budget.count_asked() / ALIVE_INTERVAL_S
             if self.is_reader():
                 self._drop_silent()
-            elif self.reader_address is not None:
-                alive = InstanceAlive(
-                    self.instance_id, self.address, self._questions_per_s
+                continue
+            self._tell_reader(
+                InstanceAlive(
+                    self.instance_id,
+                    self.address,
+                    self._questions_per_s,
+                    self.notices.take_unsent(),
                 )
-                self.link.send(self.reader_address, alive)
+            )
 
     def leave(self) -> None:
-        """Tell all peers that this instance leaves."""
-        self.link.broadcast(InstanceAlive(self.instance_id, self.address, leaving=True))
+        """Tell the reader that this instance leaves."""
+        self._tell_reader(InstanceAlive(self.instance_id, self.address, leaving=True))
+
+    def news(self) -> FleetNews:
+        """Return what this instance, as the reader, tells of all."""
+        live = self.live()
+        changed = live != self._told_instances
+        self._told_instances = live
+        self.adopt_fleet_rate(self.fleet_rate())
+        return FleetNews(
+            live if changed else None,
+            self.fleet_rate(),
+            self.notices.take_collected(),
+        )
+
+    def heard_news(self, beat: ViewBeat) -> None:
+        """Take in what the reader tells of all instances."""
+        self.reader_address = beat.address
+        self._told_instances = {}
+        self.heard(beat.sender, beat.address)
+        if beat.instances is not None:
+            self.adopt(beat.instances)
+        self.adopt_fleet_rate(beat.questions_per_s)
+        self.notices.heard_totals(beat.failures)
+
+    def _tell_reader(self, message: InstanceAlive) -> None:
+        """Send to the reader, or to those that are likely to know it."""
+        if self.reader_address is not None:
+            self.link.send(self.reader_address, message)
+            return
+        contacts = sorted(self._peers, key=reader_order)[:CONTACTS]
+        for peer_id in contacts:
+            self.link.send(self._peers[peer_id].address, message)
 
     async def _join(self) -> None:
         pause_s = RETRY_S
@@ -128,7 +184,7 @@
             LOG.warning("joining failed", problem=failure.problem)
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 2, RETRY_LIMIT_S)
-        self.link.broadcast(InstanceAlive(self.instance_id, self.address, joining=True))
+        self._tell_reader(InstanceAlive(self.instance_id, self.address, joining=True))
         self.joined.set()
 
     async def _read_and_announce(self) -> StoreFailed | None:
@@ -150,14 +206,22 @@
         return failure
 
     def _heard_alive(self, message: InstanceAlive) -> None:
-        if not message.leaving:
-            self.heard(message.sender, message.address)
-            if message.sender in self._peers:
-                peer = self._peers[message.sender]
-                peer.questions_per_s = message.questions_per_s
-            if message.joining and self.is_reader():
-                self.welcome(message.address)
+        if not self.is_reader() and self.reader_address is not None:
+            # The sender doesn't know the reader yet.
+            self.link.send(self.reader_address, message)
+        if message.leaving:
+            self._heard_leaving(message)
             return
+        self.heard(message.sender, message.address)
+        peer = self._peers.get(message.sender)
+        if peer is not None:
+            peer.questions_per_s = message.questions_per_s
+        self.notices.collect(message.failures)
+        if message.joining and self.is_reader():
+            self._told_instances = {}
+            self.welcome(message.address)
+
+    def _heard_leaving(self, message: InstanceAlive) -> None:
         if self._peers.pop(message.sender, None) is not None:
             LOG.info("instance left", instance=message.sender)
             self._changed()
@@ -170,11 +234,15 @@
             if now_s - peer.heard_at_s > SILENT_S
         ]
         for peer_id in silent:
-            del self._peers[peer_id]
+            self._forget(peer_id, now_s)
             LOG.info("instance silent", instance=peer_id, for_s=SILENT_S)
         if silent:
             self._changed()
 
+    def _forget(self, peer_id: str, now_s: float) -> None:
+        del self._peers[peer_id]
+        self._silent_until_s[peer_id] = now_s + REMEMBERED_S
+
     def _changed(self) -> None:
         addresses = {peer.address for peer in self._peers.values()}
         self.link.set_peers(frozenset(addresses))
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -8,6 +8,7 @@
 
 from baobabring.entry import (
     FleetEvent,
+    FleetNews,
     ReadSchedule,
     SharedView,
     TargetRegistered,
@@ -243,21 +244,14 @@
         if delta is not None:
             self.shared.mark_told()
             self.link.broadcast(delta)
-        self.peers.adopt_fleet_rate(self.peers.fleet_rate())
-        self.link.broadcast(self._beat(now_s))
-
-    def _beat(self, now_s: float) -> ViewBeat:
-        return self.shared.beat(self.peers.live(), self.peers.fleet_rate(), now_s)
+        self.link.broadcast(self.shared.beat(self.peers.news(), now_s))
 
     def _heard_beat(self, beat: ViewBeat) -> None:
         now_s = self.clock.now_s()
-        self.peers.heard(beat.sender, beat.address)
-        self.peers.adopt(beat.instances)
-        self.peers.adopt_fleet_rate(beat.questions_per_s)
+        self.peers.heard_news(beat)
         needed = self.shared.heard_beat(beat, now_s)
         confirmed_at_s = now_s - beat.age_ms / 1_000
         self.schedule.confirmed_by_peer(beat.sender, confirmed_at_s, now_s)
-        self.peers.reader_address = beat.address
         if needed:
             request = ViewRequest(self.shared.instance_id, self.shared.address)
             self.link.send(beat.address, request)
@@ -292,7 +286,8 @@
         if self.shared.complete:
             now_s = self.clock.now_s()
             self.link.send(address, self.shared.state(now_s))
-            self.link.send(address, self._beat(now_s))
+            news = FleetNews(instances=self.peers.live())
+            self.link.send(address, self.shared.beat(news, now_s))
 
     def _changed(self, cause: str, peer: str | None = None) -> None:
         view = self.shared.view
--- a/scenarios/test_entry_fleet.py
+++ b/scenarios/test_entry_fleet.py
@@ -273,3 +273,30 @@
     assert line["tried"][0].startswith("i-m")
     assert line["configuration"] == 3
     assert line["view_age_ms"] >= 0
+
+
+async def test_changed_settings_are_taken_up_and_faulty_ones_are_not(fleet):
+    instance = fleet.instances[0]
+    text = instance.settings_path.read_text()
+    instance.settings_path.write_text(text.replace('"6s"', '"six"'))
+    instance.send(signal.SIGHUP)
+    await asyncio.sleep(0.3)
+    (failed, *_) = instance.log_lines("reload failed")
+    assert "terms.bounds.grace" in failed["problems"][0]
+    instance.settings_path.write_text(text.replace('"6s"', '"5s"'))
+    await asyncio.sleep(2.0)
+    assert instance.log_lines("reload")[-1]["changed"]
+    assert await fleet.is_ready(instance)
+
+
+async def test_faulty_settings_end_the_start_and_name_each_field(fleet):
+    instance = fleet.instances[0]
+    await instance.end()
+    text = instance.settings_path.read_text()
+    text = text.replace("zone =", "zones =").replace('"6s"', '"six"')
+    instance.settings_path.write_text(text)
+    await instance.start()
+    assert await instance.process.wait() == 2
+    told = instance.log_path.read_text()
+    assert "local-node.zone" in told
+    assert "terms.bounds.grace" in told
