--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/tests/test_peer_task.py
@@ -0,0 +1,85 @@
+"""Test which instances an entry instance counts."""
+
+import pytest
+
+from baobabring.entry import FleetNews, QuestionBudget, SharedView, TargetBook
+from baobabring.program.entry._failure_notices import FailureNotices
+from baobabring.program.entry._peer_task import REMEMBERED_S, SILENT_S, PeerTask
+
+
+class StepClock:
+    """Stand in for the clock; tests set the time."""
+
+    def __init__(self) -> None:
+        self.at_s = 100.0
+
+    def now_s(self) -> float:
+        """Return the time that was set."""
+        return self.at_s
+
+
+class FakeLink:
+    """Stand in for the link to peers and keep what is sent."""
+
+    def __init__(self) -> None:
+        self.sent = []
+
+    def subscribe(self, message_type, handler) -> None:
+        """Take a handler."""
+
+    def set_peers(self, addresses) -> None:
+        """Take the addresses."""
+
+    def send(self, address, message) -> None:
+        """Keep a message."""
+        self.sent.append((address, message))
+
+
+@pytest.fixture
+def clock() -> StepClock:
+    """Return a clock."""
+    return StepClock()
+
+
+@pytest.fixture
+def peers(clock) -> PeerTask:
+    """Return the peers of the instance `i-0`, which has heard of two."""
+    notices = FailureNotices(TargetBook("i-0", "north"), clock)
+    budget = QuestionBudget(60.0)
+    task = PeerTask("i-0", "10.0.0.0:1", None, FakeLink(), budget, notices, clock)
+    task.heard("i-1", "10.0.0.1:1")
+    task.heard("i-2", "10.0.0.2:1")
+    return task
+
+
+def test_instance_cut_off_still_counts_its_peers_in_shared_limits(peers, clock):
+    # One cut off took a cold target's whole limit (hunt-1c9e-11 on fondo-huelga).
+    clock.at_s += SILENT_S + 1
+    peers._drop_silent()
+    assert peers.live().keys() == {"i-0"}
+    assert peers.known() == {"i-0", "i-1", "i-2"}
+    clock.at_s += REMEMBERED_S + 1
+    assert peers.known() == {"i-0"}
+
+
+def test_first_signs_of_life_go_to_few(peers):
+    for number in range(3, 100):
+        peers.heard(f"i-{number}", f"10.0.0.{number}:1")
+    peers.leave()
+    assert len(peers.link.sent) == 3
+
+
+def test_addresses_travel_only_when_they_changed(peers):
+    assert peers.news().instances is not None
+    assert peers.news().instances is None
+    peers.heard("i-3", "10.0.0.3:1")
+    assert "i-3" in peers.news().instances
+
+
+def test_reader_list_is_taken_over(peers, clock):
+    reader = SharedView("i-9", "10.0.0.9:1")
+    news = FleetNews(instances={"i-9": "10.0.0.9:1", "i-4": "10.0.0.4:1"})
+    peers.heard_news(reader.beat(news, clock.now_s()))
+    assert {"i-4", "i-9"} <= peers.live().keys()
+    peers.leave()
+    assert [address for address, _ in peers.link.sent] == ["10.0.0.9:1"]
