Let one instance of a new fleet read first, and send the view in a compact form

At the start dozens of instances read the store at once, each told all others its whole view, 30 KB, and each newcomer asked for another one.

--- a/packages/baobabring/baobabring/entry/_model.py
+++ b/packages/baobabring/baobabring/entry/_model.py
@@ -1,18 +1,21 @@
-"""Configuration, targets and calls as an entry instance sees them."""
+"""Configuration, targets and calls as an entry instance sees them.
 
-from dataclasses import dataclass, field
+What travels between instances unchanged is of msgspec's structs, as arrays.
+"""
 
+from dataclasses import dataclass
 
-@dataclass(frozen=True, slots=True)
-class WeightedService:
+import msgspec
+
+
+class WeightedService(msgspec.Struct, array_like=True, frozen=True):
     """Name a service and the relative share of a route's calls that it gets."""
 
     service_id: str
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class EntryRoute:
+class EntryRoute(msgspec.Struct, array_like=True, frozen=True):
     """Say where the calls of one host and path prefix go, and how to treat them.
 
     A lower `priority` is more urgent. `attempt_limit` bounds the targets that one
@@ -30,8 +33,7 @@
     priority: int
 
 
-@dataclass(frozen=True, slots=True)
-class EntryService:
+class EntryService(msgspec.Struct, array_like=True, frozen=True):
     """Describe what the targets of one service bear."""
 
     service_id: str
@@ -40,8 +42,7 @@
     cold_calls_per_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class CallerLimits:
+class CallerLimits(msgspec.Struct, array_like=True, frozen=True):
     """Bound what a caller may send and how long a connection may stay idle."""
 
     header_limit_bytes: int = 16_384
@@ -50,18 +51,16 @@
     idle_timeout_ms: float = 15_000.0
 
 
-@dataclass(frozen=True, slots=True)
-class EntryConfiguration:
+class EntryConfiguration(msgspec.Struct, array_like=True, frozen=True):
     """Hold everything that operators published, as of one version."""
 
     version: int = 0
     routes: tuple[EntryRoute, ...] = ()
-    services: dict[str, EntryService] = field(default_factory=dict)
-    limits: CallerLimits = field(default_factory=CallerLimits)
+    services: dict[str, EntryService] = msgspec.field(default_factory=dict)
+    limits: CallerLimits = msgspec.field(default_factory=CallerLimits)
 
 
-@dataclass(frozen=True, slots=True)
-class EntryTarget:
+class EntryTarget(msgspec.Struct, array_like=True, frozen=True):
     """Describe one target as it registered itself.
 
     `started_at_ms` is the Unix time of its start and `sequence` the number of its
--- a/packages/baobabring/baobabring/entry/_read_schedule.py
+++ b/packages/baobabring/baobabring/entry/_read_schedule.py
@@ -7,6 +7,9 @@
 READ_INTERVAL_S = 0.7
 # Instances that all start at once step in by turns, too.
 FIRST_READ_STEP_S = 0.06
+FIRST_READ_STEPS_LIMIT = 20
+# Instances of a new fleet learn of each other before one of them reads.
+SETTLE_S = 0.4
 # A reader that is silent for this long is replaced, by one instance after the other.
 TAKEOVER_S = 1.0
 TAKEOVER_STEP_S = 0.12
@@ -30,20 +33,28 @@
         self._failures = 0
         self._rank = 0
         self._ever_confirmed = False
+        self._settled_at_s = now_s
 
     def set_instances(self, instance_ids: Collection[str]) -> None:
         """Take the instances among which readers are found."""
         ordered = sorted({*instance_ids, self.instance_id}, key=reader_order)
-        self._rank = min(ordered.index(self.instance_id), TAKEOVER_STEPS_LIMIT)
+        self._rank = ordered.index(self.instance_id)
+
+    def settle(self, now_s: float) -> None:
+        """Put the first read off, since others of a new fleet are starting."""
+        self._not_before_s = max(self._not_before_s, now_s + SETTLE_S)
+        self._settled_at_s = self._not_before_s
 
     def next_read_at_s(self) -> float:
         """Return when this instance is to read unless it hears of another one."""
         if self.is_reader:
             return max(self._not_before_s, self._confirmed_at_s + READ_INTERVAL_S)
         if not self._ever_confirmed:
-            first_s = self._confirmed_at_s + self._rank * FIRST_READ_STEP_S
+            steps = min(self._rank, FIRST_READ_STEPS_LIMIT)
+            first_s = self._settled_at_s + steps * FIRST_READ_STEP_S
             return max(self._not_before_s, first_s)
-        takeover_s = TAKEOVER_S + self._rank * TAKEOVER_STEP_S
+        steps = min(self._rank, TAKEOVER_STEPS_LIMIT)
+        takeover_s = TAKEOVER_S + steps * TAKEOVER_STEP_S
         return max(self._not_before_s, self._confirmed_at_s + takeover_s)
 
     def read_succeeded(self, at_s: float) -> None:
--- a/packages/baobabring/baobabring/entry/_shared_view.py
+++ b/packages/baobabring/baobabring/entry/_shared_view.py
@@ -48,7 +48,8 @@
         self._digest: tuple[int, int] = (-1, 0)
         self._told_targets: dict[str, EntryTarget] = {}
         self._told_configuration = 0
-        self._told_digest = 0
+        # A peer that has just started has this view, too.
+        self._told_digest = self.digest()
 
     @property
     def complete(self) -> bool:
--- a/packages/baobabring/baobabring/entry/tests/test_read_schedule.py
+++ b/packages/baobabring/baobabring/entry/tests/test_read_schedule.py
@@ -92,3 +92,25 @@
     reads = play(schedules, 0.7)
     assert reads[0][0] < 0.05
     assert len(reads) == 1
+
+
+def test_large_new_fleet_is_not_read_for_by_many():
+    ids = [f"instance-{number}" for number in range(128)]
+    schedules = [ReadSchedule(name, 0.0) for name in ids]
+    for schedule in schedules:
+        schedule.set_instances(ids)
+        schedule.settle(0.0)
+    reads = play(schedules, 2.0)
+    assert len({name for _, name in reads}) == 1
+
+
+def test_large_fleet_that_loses_most_still_finds_a_reader():
+    ids = [f"instance-{number}" for number in range(128)]
+    schedules = [ReadSchedule(name, 0.0) for name in ids]
+    for schedule in schedules:
+        schedule.set_instances(ids)
+    first = play(schedules, 3.0)
+    ranked = sorted(schedules, key=lambda schedule: schedule.next_read_at_s())
+    dead = {schedule.instance_id for schedule in ranked[:60]} | {first[-1][1]}
+    later = play(schedules, 8.0, 3.0, dead)
+    assert later[0][0] - first[-1][0] <= 2.0
--- a/packages/baobabring/baobabring/entry/tests/test_shared_view.py
+++ b/packages/baobabring/baobabring/entry/tests/test_shared_view.py
@@ -97,3 +97,11 @@
     reader.mark_told()
     reader.apply([TargetRegistered(build_target(sequence=9))], 10.5)
     assert reader.delta(10.5) is None
+
+
+def test_first_delta_is_the_whole_view_for_peers_that_have_just_started():
+    reader = build_reader()
+    other = SharedView("other", "10.0.0.2:1")
+    assert other.heard_delta(reader.delta(10.0), 10.1)
+    assert other.complete
+    assert other.digest() == reader.digest()
--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -66,6 +66,7 @@
         self.is_reader: Callable[[], bool] = lambda: False
         self.welcome: Callable[[str], None] = lambda address: None
         self.joined = asyncio.Event()
+        self.announced_anew = False
         self._peers: dict[str, _Peer] = {}
         self._listeners: list[Callable[[], None]] = []
         self._silent_until_s: dict[str, float] = {}
@@ -201,6 +202,7 @@
                 self.heard(record.key, record.value.decode("latin-1"))
         if announced:
             return None
+        self.announced_anew = True
         failure = await self.store.put(INSTANCE_TOPIC, self.instance_id, own_address)
         STORE_CALLS.labels("Appended" if failure is None else "StoreFailed").inc()
         return failure
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -96,6 +96,8 @@
     async def _keep_targets(self) -> None:
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self.peers.joined.wait(), JOIN_WAIT_S)
+        if self.peers.announced_anew:
+            self.schedule.settle(self.clock.now_s())
         while True:
             now_s = self.clock.now_s()
             if self.shared.tick(now_s):
