--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -13,7 +13,7 @@
     ViewBeat,
     reader_order,
 )
-from baobabring.platform.store import StoreClient, StoreFailed
+from baobabring.platform.store import Newest, StoreClient, StoreFailed
 from baobabring.program._peer_link import PeerLink
 from baobabring.program.entry._failure_notices import FailureNotices
 from baobabring.program.entry._metrics import STORE_CALLS
@@ -188,19 +188,23 @@
         self._tell_reader(InstanceAlive(self.instance_id, self.address, joining=True))
         self.joined.set()
 
-    async def _read_and_announce(self) -> StoreFailed | None:
+    async def read_instances(self) -> Newest | StoreFailed:
+        """Learn from the store which instances announced themselves."""
         newest = await self.store.newest(INSTANCE_TOPIC)
         STORE_CALLS.labels(type(newest).__name__).inc()
+        if isinstance(newest, Newest):
+            for record in newest.records:
+                if record.value:
+                    self.heard(record.key, record.value.decode("latin-1"))
+        return newest
+
+    async def _read_and_announce(self) -> StoreFailed | None:
+        newest = await self.read_instances()
         if isinstance(newest, StoreFailed):
             return newest
         own_address = self.address.encode()
-        announced = False
-        for record in newest.records:
-            if record.key == self.instance_id:
-                announced = record.value == own_address
-            elif record.value:
-                self.heard(record.key, record.value.decode("latin-1"))
-        if announced:
+        own = [record for record in newest.records if record.key == self.instance_id]
+        if own and own[0].value == own_address:
             return None
         self.announced_anew = True
         failure = await self.store.put(INSTANCE_TOPIC, self.instance_id, own_address)
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -47,6 +47,7 @@
 RETRY_OPERATORS_S = 0.5
 # Peers may know the view, so an instance joins them before it reads the store.
 JOIN_WAIT_S = 0.5
+MEET_OTHERS_AFTER_S = 1.5
 IDLE_CHECK_S = 0.1
 
 ViewListener = Callable[[], None]
@@ -75,6 +76,7 @@
         self._targets_known = False
         self._store_lost = False
         self._wake = asyncio.Event()
+        self._became_reader = asyncio.Event()
         link.subscribe(ViewBeat, self._heard_beat)
         link.subscribe(ViewState, self._heard_state)
         link.subscribe(ViewDelta, self._heard_delta)
@@ -90,6 +92,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._keep_targets())
             group.create_task(self._keep_operators())
+            group.create_task(self._meet_others())
 
     # Reading
 
@@ -130,6 +133,7 @@
         if not was_reader:
             LOG.info("reads the store for all", view_age_s=self._age_s())
             self._wake.set()
+            self._became_reader.set()
         self._tell_peers()
 
     async def _keep_operators(self) -> None:
@@ -149,6 +153,18 @@
                 self._tell_peers()
             await asyncio.sleep(OPERATOR_PAUSE_S)
 
+    async def _meet_others(self) -> None:
+        """Learn, as a new reader, of instances that announced themselves meanwhile.
+
+        Two readers that don't know each other would both go on reading.
+        """
+        while True:
+            await self._became_reader.wait()
+            self._became_reader.clear()
+            await asyncio.sleep(MEET_OTHERS_AFTER_S)
+            if self.schedule.is_reader:
+                await self.peers.read_instances()
+
     async def _read_operators(self, wait_ms: int) -> StoreFailed | None:
         if self._operators_known:
             offset = self.shared.operator_offset
