--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -52,6 +52,7 @@
 
 MS_PER_S = 1_000
 QUESTION_ROUNDS = 3
+HEDGE_TRIES = 3
 SUCCESS_STATUSES = range(200, 300)
 FAILURE_STATUSES = range(500, 600)
 # A call that has less time than this left is not worth a target's work.
@@ -205,17 +206,31 @@
             return await self._attempt(progress, chosen)
         attempts = [asyncio.ensure_future(self._attempt(progress, chosen))]
         try:
-            await asyncio.wait(attempts, timeout=at_s - now_s)
-            if not attempts[0].done():
-                second = await self._choose_hedge(progress)
-                if second is not None:
-                    attempt = asyncio.ensure_future(self._attempt(progress, second))
-                    attempts.append(attempt)
+            second = await self._hedge_when_late(progress, attempts[0], at_s - now_s)
+            if second is not None:
+                attempt = asyncio.ensure_future(self._attempt(progress, second))
+                attempts.append(attempt)
             return await self._first_good(attempts)
         finally:
             for attempt in attempts:
                 attempt.cancel()
 
+    async def _hedge_when_late(
+        self, progress: CallProgress, first: asyncio.Task, interval_s: float
+    ) -> Assigned | None:
+        """Return a second target once the first attempt is late, None if it ends.
+
+        When there is no slot or no repeat to spare, there may be later.
+        """
+        for _ in range(HEDGE_TRIES):
+            await asyncio.wait([first], timeout=interval_s)
+            if first.done():
+                return None
+            second = await self._choose_hedge(progress)
+            if second is not None:
+                return second
+        return None
+
     async def _choose_hedge(self, progress: CallProgress) -> Assigned | None:
         """Return a second target with a free slot, None if there is none to spare."""
         call = progress.call
