--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -48,6 +48,8 @@
 # Peers may know the view, so an instance joins them before it reads the store.
 JOIN_WAIT_S = 0.5
 MEET_OTHERS_AFTER_S = 1.5
+# A beat this young tells that its sender has just read the store.
+FRESH_BEAT_MS = 200.0
 IDLE_CHECK_S = 0.1
 
 ViewListener = Callable[[], None]
@@ -122,9 +124,7 @@
         if failure is not None:
             self._read_failed(failure)
             return
-        if self._store_lost:
-            self._store_lost = False
-            LOG.info("store regained", after_s=self._age_s())
+        self._store_regained("own read")
         self.schedule.read_succeeded(started_at_s)
         was_complete = self.shared.complete
         self.shared.confirm(started_at_s)
@@ -138,7 +138,8 @@
 
     async def _keep_operators(self) -> None:
         while True:
-            if not self.schedule.is_reader or not self._operators_known:
+            reads = self.schedule.is_reader and not self._store_lost
+            if not reads or not self._operators_known:
                 self._wake.clear()
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._wake.wait(), RETRY_OPERATORS_S)
@@ -251,6 +252,11 @@
         self.store.pool.drop(self.store.address)
         self.schedule.read_failed(self.clock.now_s())
 
+    def _store_regained(self, by: str) -> None:
+        if self._store_lost:
+            self._store_lost = False
+            LOG.info("store regained", by=by, view_age_s=self._age_s())
+
     def _count(self, outcome: Newest | Records | HistoryGone | StoreFailed) -> None:
         STORE_CALLS.labels(type(outcome).__name__).inc()
 
@@ -269,6 +275,8 @@
         self.peers.heard_news(beat)
         needed = self.shared.heard_beat(beat, now_s)
         confirmed_at_s = now_s - beat.age_ms / 1_000
+        if beat.age_ms < FRESH_BEAT_MS:
+            self._store_regained(beat.sender)
         self.schedule.confirmed_by_peer(beat.sender, confirmed_at_s, now_s)
         if needed:
             request = ViewRequest(self.shared.instance_id, self.shared.address)
