Split the forwarder, the view's task and the call engine; drop encoders only tests used

The forwarder's choice, the reading of the store and what claims mean for calls are modules of their own. Heartbeats and counts in flight are encoded by the peers' frames alone, in tests and benchmarks, too; a bad payload is told as a bad frame there. The claims' next wake had no caller.

--- a/benchmarks/balancing_choice.py
+++ b/benchmarks/balancing_choice.py
@@ -14,8 +14,6 @@
     InFlightUpdate,
     TargetCount,
     create_balancer,
-    decode_update,
-    encode_update,
     target_key,
 )
 from baobabring.model import (
@@ -26,6 +24,7 @@
     Service,
     Target,
 )
+from baobabring.peers import decode_message, encode_message
 from baobabring.platform import LogRecord, Page
 from tabulate import tabulate
 
@@ -116,7 +115,7 @@
     apply_us = []
     for round_number in range(100, 100 + ROUNDS):
         payloads = [
-            encode_update(update)
+            encode_message(update)
             for number in range(CHOICES_PER_ROUND // PEERS)
             for update in peers_updates(
                 target_count, 1_000 * round_number + number, now_s
@@ -124,14 +123,14 @@
         ]
         started = time.perf_counter()
         for payload in payloads:
-            balancer.sharing.apply(decode_update(payload), now_s)
+            balancer.sharing.apply(decode_message(payload), now_s)
         apply_us.append(_microseconds_each(started, len(payloads)))
         elapsed = 0.0
         for number in range(CHOICES_PER_ROUND):
             now_s += 0.05
             balancer.attempt_started(f"target-{number % target_count}", now_s)
             started = time.perf_counter()
-            encode_update(balancer.sharing.outgoing(now_s))
+            encode_message(balancer.sharing.outgoing(now_s))
             elapsed += time.perf_counter() - started
             balancer.attempt_ended(f"target-{number % target_count}", None, now_s)
         outgoing_us.append(1e6 * elapsed / CHOICES_PER_ROUND)
@@ -150,7 +149,7 @@
         update = InFlightUpdate(
             "instance-1", 1_764_800_000_000_000, 1.8e9, False, counts
         )
-        rows.append((count, len(encode_update(update))))
+        rows.append((count, len(encode_message(update))))
     return rows
 
 
--- a/benchmarks/capacity_messages.py
+++ b/benchmarks/capacity_messages.py
@@ -3,10 +3,9 @@
 from baobabring.balancing import (
     InFlightUpdate,
     TargetCount,
-    decode_update,
-    encode_update,
 )
-from baobabring.membership import Heartbeat, decode_heartbeat, encode_heartbeat
+from baobabring.membership import Heartbeat
+from baobabring.peers import decode_message, encode_message
 from baobabring.platform import InstanceState
 from capacity_slopes import print_slopes, size_slope, time_slope
 
@@ -48,29 +47,29 @@
         time_slope(
             "update encode, each count",
             COUNTS,
-            lambda n: _bind(encode_update, make_update(n)),
+            lambda n: _bind(encode_message, make_update(n)),
         ),
         time_slope(
             "update decode, each count",
             COUNTS,
-            lambda n: _bind(decode_update, update_bytes(n)),
+            lambda n: _bind(decode_message, update_bytes(n)),
         ),
     ]
     heartbeats = [
         size_slope(
             "heartbeat, bytes each byte of id",
             ID_LENGTHS,
-            lambda n: encode_heartbeat(make_heartbeat(n)),
+            lambda n: encode_message(make_heartbeat(n)),
         ),
         time_slope(
             "heartbeat encode, each byte of id",
             ID_LENGTHS,
-            lambda n: _bind(encode_heartbeat, make_heartbeat(n)),
+            lambda n: _bind(encode_message, make_heartbeat(n)),
         ),
         time_slope(
             "heartbeat decode, each byte of id",
             ID_LENGTHS,
-            lambda n: _bind(decode_heartbeat, encode_heartbeat(make_heartbeat(n))),
+            lambda n: _bind(decode_message, encode_message(make_heartbeat(n))),
         ),
     ]
     print_slopes("Messages between instances", heartbeats + updates)
@@ -78,7 +77,7 @@
 
 def update_bytes(counts: int) -> bytes:
     """Return an encoded update with this many counts."""
-    return encode_update(make_update(counts))
+    return encode_message(make_update(counts))
 
 
 def _bind(action, argument):
--- a/packages/baobabring/baobabring/balancing/__init__.py
+++ b/packages/baobabring/baobabring/balancing/__init__.py
@@ -20,8 +20,6 @@
     ColdNotice,
     InFlightUpdate,
     TargetCount,
-    decode_update,
-    encode_update,
     target_key,
 )
 
@@ -49,7 +47,5 @@
     "TargetCount",
     "TargetPolicy",
     "create_balancer",
-    "decode_update",
-    "encode_update",
     "target_key",
 ]
--- a/packages/baobabring/baobabring/balancing/_updates.py
+++ b/packages/baobabring/baobabring/balancing/_updates.py
@@ -33,20 +33,6 @@
     notices: tuple[ColdNotice, ...] = ()
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(InFlightUpdate)
-
-
-def encode_update(update: InFlightUpdate) -> bytes:
-    """Encode an update as MessagePack."""
-    return _encoder.encode(update)
-
-
-def decode_update(payload: bytes) -> InFlightUpdate:
-    """Decode an update; raises msgspec.DecodeError for anything else."""
-    return _decoder.decode(payload)
-
-
 def target_key(target_id: str) -> int:
     """Return the 32-bit key that stands for a target in updates."""
     return xxhash.xxh32_intdigest(target_id.encode())
--- a/packages/baobabring/baobabring/balancing/tests/test_sharing.py
+++ b/packages/baobabring/baobabring/balancing/tests/test_sharing.py
@@ -7,12 +7,11 @@
     Candidate,
     InFlightUpdate,
     TargetCount,
-    decode_update,
-    encode_update,
 )
 from baobabring.balancing._peers import AgeScale, PeerLoad
 from baobabring.balancing._updates import target_key
 from baobabring.balancing.tests.fakes import make_warm_balancer
+from baobabring.peers import decode_message, encode_message
 
 DECAY_S = 0.1
 
@@ -38,7 +37,7 @@
 
 def test_update_survives_its_encoding():
     update = make_update(7, 1.5, 2)
-    assert decode_update(encode_update(update)) == update
+    assert decode_message(encode_message(update)) == update
 
 
 def test_counts_lose_weight_with_age():
@@ -153,7 +152,7 @@
             balancer.attempt_started("t0", now_s)
         if step % 5 == 0:
             update = balancer.sharing.outgoing(now_s)
-            sent_bytes += len(encode_update(update)) if update else 0
+            sent_bytes += len(encode_message(update)) if update else 0
     assert 0.2 * rate * 10 < sent_bytes <= rate * 10.5
 
 
--- a/packages/baobabring/baobabring/calls/_engine.py
+++ b/packages/baobabring/baobabring/calls/_engine.py
@@ -5,6 +5,12 @@
 
 from baobabring.admission import AdmissionQueue, Refused
 from baobabring.balancing import Balancer
+from baobabring.calls._claiming import (
+    UNKNOWN_RETRY_S,
+    finish_claim,
+    outcome_of_claim,
+    request_claim,
+)
 from baobabring.calls._commands import (
     AnswerCall,
     CancelAttempt,
@@ -16,19 +22,13 @@
     Phase,
     RunningAttempt,
     describe_waiting,
-    fingerprint_call,
-    replay_answer,
     true_outcome,
 )
 from baobabring.calls._timers import CallTimers
 from baobabring.claims import (
     ClaimCoordinator,
     ClaimEvent,
-    ClaimLost,
     ClaimPending,
-    ClaimRefused,
-    ClaimReplayed,
-    ClaimUnknown,
     ClaimWon,
 )
 from baobabring.model import (
@@ -53,7 +53,6 @@
 
 MAX_ATTEMPTS = 3
 RETRY_JITTER_S = 0.2
-UNKNOWN_RETRY_S = 1.0
 RETRYABLE_STATUSES = frozenset({500, 502, 503, 504})
 
 
@@ -214,19 +213,8 @@
     # Claims
 
     def _request_claim(self, state: CallState, now_s: float) -> None:
-        call = state.call
         state.phase = Phase.CLAIM
-        event = self.claims.request(
-            call_id=call.call_id,
-            service_id=call.service_id,
-            key=call.key,
-            fingerprint=fingerprint_call(call),
-            tenant=call.tenant,
-            method=call.method,
-            path=call.path,
-            deadline_s=call.deadline_s,
-            now_s=now_s,
-        )
+        event = request_claim(self.claims, state.call, now_s)
         if not isinstance(event, ClaimPending):
             self._apply_claim_event(state, event, now_s)
 
@@ -237,16 +225,10 @@
             state.claimed = True
             state.phase = Phase.ROOM
             self._find_target(state, now_s)
-        elif isinstance(event, ClaimReplayed):
-            self._finish(state, replay_answer(event.answer), now_s)
-        elif isinstance(event, ClaimUnknown):
-            retry_at_s = now_s + UNKNOWN_RETRY_S
-            self._finish(state, Unknown(event.reason, retry_at_s), now_s)
-        elif isinstance(event, ClaimRefused):
-            self._finish(state, NotRun(event.reason, event.retry_at_s), now_s)
-        else:
-            # The holder's result is on its way; the call's deadline bounds the wait.
-            assert isinstance(event, ClaimLost)
+            return
+        outcome = outcome_of_claim(event, now_s)
+        if outcome is not None:
+            self._finish(state, outcome, now_s)
 
     # Choice of a target
 
@@ -400,19 +382,6 @@
             self._commands.append(CancelAttempt(call.call_id, attempt))
         self._commands.append(AnswerCall(call, outcome, tuple(state.tries)))
         if call.key is not None and not call.rule.idempotent:
-            self._finish_claim(state, outcome, now_s)
+            finish_claim(self.claims, state, outcome, now_s)
         if state.running:
             self.drain(call.service_id, now_s)
-
-    def _finish_claim(
-        self, state: CallState, outcome: CallOutcome, now_s: float
-    ) -> None:
-        call_id = state.call.call_id
-        if not state.claimed:
-            self.claims.cancel(call_id, now_s)
-        elif isinstance(outcome, Completed):
-            self.claims.finish_result(call_id, outcome.answer, now_s)
-        elif isinstance(outcome, NotRun):
-            self.claims.finish_release(call_id, now_s)
-        else:
-            self.claims.finish_undetermined(call_id, now_s)
--- a/packages/baobabring/baobabring/claims/_calls.py
+++ b/packages/baobabring/baobabring/claims/_calls.py
@@ -101,7 +101,3 @@
             call = self._calls.get(heapq.heappop(self._wakes)[1])
             if call is not None:
                 yield call
-
-    def next_wake_at_s(self) -> float | None:
-        """Return when the next call is due."""
-        return self._wakes[0][0] if self._wakes else None
--- a/packages/baobabring/baobabring/claims/_coordinator.py
+++ b/packages/baobabring/baobabring/claims/_coordinator.py
@@ -201,10 +201,6 @@
         """Return what became of a settlement requested at this instance."""
         return self._settlements.state(settlement_id)
 
-    def next_wake_at_s(self) -> float | None:
-        """Return when `tick` has to be called next, None if no call waits."""
-        return self._tracker.next_wake_at_s()
-
     def set_live_instances(self, live_instances: int, now_s: float) -> None:
         """Take an equal share of the fleet's budget of appends from now on."""
         self.pacer.set_live_instances(live_instances, now_s)
--- a/packages/baobabring/baobabring/claims/_tracker.py
+++ b/packages/baobabring/baobabring/claims/_tracker.py
@@ -68,10 +68,6 @@
         self._events = []
         return events
 
-    def next_wake_at_s(self) -> float | None:
-        """Return when the next call is due."""
-        return self._calls.next_wake_at_s()
-
     def review_due(self, now_s: float) -> None:
         """Look at the calls whose time has come."""
         for call in self._calls.due(now_s):
--- a/packages/baobabring/baobabring/membership/__init__.py
+++ b/packages/baobabring/baobabring/membership/__init__.py
@@ -10,8 +10,6 @@
 )
 from baobabring.membership._heartbeat import (
     Heartbeat,
-    decode_heartbeat,
-    encode_heartbeat,
 )
 from baobabring.membership._membership import (
     Member,
@@ -34,6 +32,4 @@
     "Verdict",
     "create_confirmation_tracker",
     "create_membership",
-    "decode_heartbeat",
-    "encode_heartbeat",
 ]
--- a/packages/baobabring/baobabring/membership/_heartbeat.py
+++ b/packages/baobabring/baobabring/membership/_heartbeat.py
@@ -29,17 +29,3 @@
     revision: int
     config_offset: int
     confirmed_at_s: float
-
-
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Heartbeat)
-
-
-def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
-    """Return the bytes to send."""
-    return _ENCODER.encode(heartbeat)
-
-
-def decode_heartbeat(payload: bytes) -> Heartbeat:
-    """Return the heartbeat, or raise msgspec.DecodeError."""
-    return _DECODER.decode(payload)
--- a/packages/baobabring/baobabring/membership/tests/test_membership.py
+++ b/packages/baobabring/baobabring/membership/tests/test_membership.py
@@ -1,6 +1,5 @@
 """Tests of the view of the fleet."""
 
-import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -10,9 +9,8 @@
     MembershipSettings,
     MemberState,
     create_membership,
-    decode_heartbeat,
-    encode_heartbeat,
 )
+from baobabring.peers import BadFrame, decode_message, encode_message
 from baobabring.platform import InstanceInfo, InstanceState
 
 
@@ -37,9 +35,8 @@
 
 def test_heartbeat_round_trip():
     heartbeat = make_heartbeat("a")
-    assert decode_heartbeat(encode_heartbeat(heartbeat)) == heartbeat
-    with pytest.raises(msgspec.DecodeError):
-        decode_heartbeat(b"\x93\x01")
+    assert decode_message(encode_message(heartbeat)) == heartbeat
+    assert isinstance(decode_message(b"\x01\x01\x93\x01"), BadFrame)
 
 
 def test_listed_instance_is_live_until_silent():
--- a/packages/baobabring/baobabring/program/entry/_call_task.py
+++ b/packages/baobabring/baobabring/program/entry/_call_task.py
@@ -21,8 +21,9 @@
     WeightedTurns,
 )
 from baobabring.platform.wire import read_caller_headers
-from baobabring.program.entry._forwarder import CallProgress, Forwarder
+from baobabring.program.entry._forwarder import Forwarder
 from baobabring.program.entry._metrics import ENTRY_CALL_SECONDS, ENTRY_CALLS
+from baobabring.program.entry._progress import CallProgress
 from baobabring.utils import Clock
 
 LOG = logbook.Logger("call")
--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -1,9 +1,6 @@
 """Carrying of calls to targets."""
 
 import asyncio
-from dataclasses import dataclass, field
-
-import logbook
 
 from baobabring.connections import (
     ConnectionPool,
@@ -13,7 +10,6 @@
 )
 from baobabring.entry import (
     Admission,
-    AskAgain,
     AttemptAnswered,
     AttemptEnd,
     AttemptLost,
@@ -23,10 +19,8 @@
     EntryCall,
     EntryOutcome,
     NotRun,
-    Offer,
     QuestionBudget,
     RefuseCall,
-    SendCall,
     TargetAnswer,
     TargetChoice,
     TargetRecord,
@@ -41,37 +35,18 @@
     request_to_target,
     says_not_run,
 )
-from baobabring.program.entry._asker import Asked, Asker
+from baobabring.program.entry._chooser import LEAST_TIME_LEFT_S, Chooser
 from baobabring.program.entry._failure_notices import FailureNotices
 from baobabring.program.entry._metrics import ENTRY_ATTEMPTS
-from baobabring.program.entry._waiting import Assigned, WaitingRoom
+from baobabring.program.entry._progress import CallProgress
+from baobabring.program.entry._waiting import Assigned
 from baobabring.retries import RetryBudget
 from baobabring.utils import Clock
 
-LOG = logbook.Logger("attempt")
-
 MS_PER_S = 1_000
-QUESTION_ROUNDS = 3
 HEDGE_TRIES = 3
 SUCCESS_STATUSES = range(200, 300)
 FAILURE_STATUSES = range(500, 600)
-# A call that has less time than this left is not worth a target's work.
-LEAST_TIME_LEFT_S = 0.005
-
-
-@dataclass(slots=True)
-class CallProgress:
-    """Hold how far a call has come, for its decisions and its log line."""
-
-    call: EntryCall
-    tried: list[str] = field(default_factory=list)
-    questions: int = 0
-    waited: bool = False
-    may_have_run: bool = False
-    sent: bool = False
-    last_answer: TargetAnswer | None = None
-    last_problem: CallProblem = CallProblem.OVERLOAD
-    offers: list[Offer] = field(default_factory=list)
 
 
 class Forwarder:
@@ -93,15 +68,13 @@
         self.notices = notices
         self.pool = pool
         self.clock = clock
-        self.budget = budget
-        self.asker = Asker(pool, clock)
-        self.waiting = WaitingRoom(choice, admission, self.asker, budget, clock)
+        self.chooser = Chooser(choice, admission, budget, pool, clock)
 
     async def forward(self, progress: CallProgress) -> EntryOutcome:
         """Try targets until there is an outcome."""
         call = progress.call
         while True:
-            chosen = await self._choose(progress)
+            chosen = await self.chooser.choose(progress)
             if isinstance(chosen, RefuseCall):
                 return self._give_up(progress, chosen)
             if not progress.tried:
@@ -111,87 +84,6 @@
             if outcome is not None:
                 return outcome
 
-    # Choice
-
-    async def _choose(self, progress: CallProgress) -> Assigned | RefuseCall:
-        call = progress.call
-        now_s = self.clock.now_s()
-        if now_s + LEAST_TIME_LEFT_S >= call.answer_by_s:
-            return RefuseCall(now_s, CallProblem.TIMEOUT)
-        exclude = frozenset(progress.tried)
-        if not self.waiting.is_ahead_of(call):
-            decision = await self._ask_once(progress, exclude)
-            if not isinstance(decision, AskAgain):
-                return decision
-        progress.waited = True
-        return await self.waiting.wait(call, exclude)
-
-    async def _ask_once(
-        self, progress: CallProgress, exclude: frozenset[str]
-    ) -> Assigned | RefuseCall | AskAgain:
-        """Ask a few targets, and a few others if the first ones are full."""
-        asked: dict[str, Asked] = {}
-        try:
-            return await self._ask_until_decided(progress, exclude, asked)
-        finally:
-            for left_over in asked.values():
-                self.asker.release(left_over)
-
-    async def _ask_until_decided(
-        self,
-        progress: CallProgress,
-        exclude: frozenset[str],
-        asked: dict[str, Asked],
-    ) -> Assigned | RefuseCall | AskAgain:
-        call = progress.call
-        seen = set(exclude)
-        for round_number in range(1, QUESTION_ROUNDS + 1):
-            now_s = self.clock.now_s()
-            wanted = self.choice.settings.asked_targets
-            count = self.budget.take(wanted)
-            records = self.choice.targets_to_ask(call.service_id, seen, now_s, count)
-            await self._ask(progress, records, asked)
-            seen.update(record.target.target_id for record in records)
-            now_s = self.clock.now_s()
-            reports = [answer.report for answer in asked.values()]
-            progress.offers = self.choice.offers(call, reports, now_s)
-            others_left = (
-                round_number < QUESTION_ROUNDS
-                and not self.budget.scarce
-                and bool(self.choice.targets_to_ask(call.service_id, seen, now_s))
-            )
-            decision = self.admission.decide(call, progress.offers, others_left, now_s)
-            if isinstance(decision, SendCall):
-                return self._take(decision, progress, asked)
-            if isinstance(decision, RefuseCall) or not others_left:
-                return decision
-        return AskAgain(now_s)
-
-    async def _ask(
-        self,
-        progress: CallProgress,
-        records: list[TargetRecord],
-        asked: dict[str, Asked],
-    ) -> None:
-        service = self.choice.configuration.services.get(progress.call.service_id)
-        if service is None or not records:
-            return
-        progress.questions += len(records)
-        for answer in await self.asker.ask(records, service.health_path):
-            asked[answer.report.target_id] = answer
-            if answer.report.load is not None:
-                self.choice.estimates.observe_slowdown(
-                    service.service_id, answer.report.load.slowdown
-                )
-
-    def _take(
-        self, decision: SendCall, progress: CallProgress, asked: dict[str, Asked]
-    ) -> Assigned:
-        answer = asked.pop(decision.target_id)
-        record = self.choice.book.record(decision.target_id)
-        offer = next(o for o in progress.offers if o.target_id == decision.target_id)
-        return Assigned(record, answer, offer)
-
     # Attempts
 
     async def _attempt_with_hedge(
@@ -226,22 +118,12 @@
             await asyncio.wait([first], timeout=interval_s)
             if first.done():
                 return None
-            second = await self._choose_hedge(progress)
-            if second is not None:
+            second = await self.chooser.choose_hedge(progress)
+            if second is None:
+                continue
+            if self._may_try_again(progress):
                 return second
-        return None
-
-    async def _choose_hedge(self, progress: CallProgress) -> Assigned | None:
-        """Return a second target with a free slot, None if there is none to spare."""
-        call = progress.call
-        if self.budget.scarce or self.waiting.is_ahead_of(call):
-            return None
-        decision = await self._ask_once(progress, frozenset(progress.tried))
-        if not isinstance(decision, Assigned):
-            return None
-        if decision.offer.free_slot and self._may_try_again(progress):
-            return decision
-        self.asker.release(decision.asked)
+            self.chooser.asker.release(second.asked)
         return None
 
     async def _first_good(self, attempts: list[asyncio.Task]) -> AttemptEnd:
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_progress.py
@@ -0,0 +1,20 @@
+"""How far a call has come."""
+
+from dataclasses import dataclass, field
+
+from baobabring.entry import CallProblem, EntryCall, Offer, TargetAnswer
+
+
+@dataclass(slots=True)
+class CallProgress:
+    """Hold how far a call has come, for its decisions and its log line."""
+
+    call: EntryCall
+    tried: list[str] = field(default_factory=list)
+    questions: int = 0
+    waited: bool = False
+    may_have_run: bool = False
+    sent: bool = False
+    last_answer: TargetAnswer | None = None
+    last_problem: CallProblem = CallProblem.OVERLOAD
+    offers: list[Offer] = field(default_factory=list)
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -2,39 +2,23 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import logbook
 
 from baobabring.entry import (
-    FleetEvent,
     FleetNews,
     ReadSchedule,
     SharedView,
-    TargetRegistered,
     ViewBeat,
     ViewDelta,
     ViewRequest,
     ViewState,
-    ZoneTakenOut,
-)
-from baobabring.platform.records import (
-    OPERATOR_TOPIC,
-    TARGET_TOPIC,
-    UnreadableRecord,
-    decode_operator_record,
-    decode_target_record,
-)
-from baobabring.platform.store import (
-    HistoryGone,
-    Newest,
-    Records,
-    StoreClient,
-    StoreFailed,
 )
+from baobabring.platform.store import StoreClient, StoreFailed
 from baobabring.program._peer_link import PeerLink
-from baobabring.program.entry._metrics import STORE_CALLS
 from baobabring.program.entry._peer_task import PeerTask
+from baobabring.program.entry._store_reader import StoreReader
 from baobabring.utils import Clock
 
 LOG = logbook.Logger("view")
@@ -74,8 +58,7 @@
         self.peers = peers
         self.clock = clock
         self._listeners: list[ViewListener] = []
-        self._operators_known = False
-        self._targets_known = False
+        self.reader = StoreReader(shared, store, self._changed, clock)
         self._store_lost = False
         self._wake = asyncio.Event()
         self._became_reader = asyncio.Event()
@@ -117,10 +100,10 @@
         started_at_s = self.clock.now_s()
         was_reader = self.schedule.is_reader
         failure = None
-        if not self._operators_known:
-            failure = await self._read_operators(0)
+        if not self.reader.operators_known:
+            failure = await self.reader.read_operators(0)
         if failure is None:
-            failure = await self._read_targets()
+            failure = await self.reader.read_targets()
         if failure is not None:
             self._read_failed(failure)
             return
@@ -139,13 +122,13 @@
     async def _keep_operators(self) -> None:
         while True:
             reads = self.schedule.is_reader and not self._store_lost
-            if not reads or not self._operators_known:
+            if not reads or not self.reader.operators_known:
                 self._wake.clear()
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(self._wake.wait(), RETRY_OPERATORS_S)
                 continue
             version = self.shared.version
-            failure = await self._read_operators(OPERATOR_WAIT_MS)
+            failure = await self.reader.read_operators(OPERATOR_WAIT_MS)
             if failure is not None:
                 LOG.info("reading of changes failed", problem=failure.problem)
                 await asyncio.sleep(RETRY_OPERATORS_S)
@@ -166,85 +149,6 @@
             if self.schedule.is_reader:
                 await self.peers.read_instances()
 
-    async def _read_operators(self, wait_ms: int) -> StoreFailed | None:
-        if self._operators_known:
-            offset = self.shared.operator_offset
-            outcome = await self.store.read(OPERATOR_TOPIC, offset, wait_ms)
-            self._count(outcome)
-            if isinstance(outcome, Records):
-                if outcome.next_offset >= self.shared.operator_offset:
-                    self.shared.operator_offset = outcome.next_offset
-                    self._apply(map(decode_operator_record, outcome.records))
-                return None
-            if isinstance(outcome, StoreFailed):
-                return outcome
-            LOG.info("history gone", topic=OPERATOR_TOPIC, offset=offset)
-        newest = await self.store.newest(OPERATOR_TOPIC)
-        self._count(newest)
-        if isinstance(newest, StoreFailed):
-            return newest
-        events = self._readable(map(decode_operator_record, newest.records))
-        zones = {event.zone for event in events if isinstance(event, ZoneTakenOut)}
-        changed = self.shared.replace_zones_out(zones)
-        changed |= self.shared.apply(events, self.clock.now_s())
-        self.shared.operator_offset = newest.next_offset
-        self._operators_known = True
-        if changed:
-            self._changed("operators' records read")
-        return None
-
-    async def _read_targets(self) -> StoreFailed | None:
-        if self._targets_known:
-            offset = self.shared.target_offset
-            outcome = await self.store.read(TARGET_TOPIC, offset, 0)
-            self._count(outcome)
-            if isinstance(outcome, Records):
-                if outcome.next_offset >= self.shared.target_offset:
-                    self.shared.target_offset = outcome.next_offset
-                    self._apply(map(decode_target_record, outcome.records))
-                return None
-            if isinstance(outcome, StoreFailed):
-                return outcome
-            LOG.info("history gone", topic=TARGET_TOPIC, offset=offset)
-        newest = await self.store.newest(TARGET_TOPIC)
-        self._count(newest)
-        if isinstance(newest, StoreFailed):
-            return newest
-        self._replace_targets(newest)
-        return None
-
-    def _replace_targets(self, newest: Newest) -> None:
-        records = [decode_target_record(record) for record in newest.records]
-        targets = [
-            event.target
-            for event in self._readable(records)
-            if isinstance(event, TargetRegistered)
-        ]
-        self.shared.target_offset = newest.next_offset
-        self._targets_known = True
-        if self.shared.replace_targets(targets, self.clock.now_s()):
-            self._changed("targets read")
-
-    def _apply(self, events: Iterable) -> None:
-        readable = self._readable(events)
-        if self.shared.apply(readable, self.clock.now_s()):
-            self._changed("records applied")
-
-    def _readable(self, events: Iterable) -> list[FleetEvent]:
-        readable = []
-        for event in events:
-            if isinstance(event, UnreadableRecord):
-                LOG.warning(
-                    "record ignored",
-                    topic=event.topic,
-                    key=event.key,
-                    offset=event.offset,
-                    problem=event.problem,
-                )
-            elif event is not None:
-                readable.append(event)
-        return readable
-
     def _read_failed(self, failure: StoreFailed) -> None:
         if not self._store_lost:
             self._store_lost = True
@@ -257,9 +161,6 @@
             self._store_lost = False
             LOG.info("store regained", by=by, view_age_s=self._age_s())
 
-    def _count(self, outcome: Newest | Records | HistoryGone | StoreFailed) -> None:
-        STORE_CALLS.labels(type(outcome).__name__).inc()
-
     # Peers
 
     def _tell_peers(self) -> None:
@@ -285,7 +186,7 @@
     def _heard_state(self, state: ViewState) -> None:
         now_s = self.clock.now_s()
         changed = self.shared.heard_state(state, now_s)
-        self._operators_known = self._targets_known = True
+        self.reader.operators_known = self.reader.targets_known = True
         confirmed_at_s = now_s - state.age_ms / 1_000
         self.schedule.confirmed_by_peer(state.sender, confirmed_at_s, now_s)
         self.shared.mark_told()
