Tell the view to a newcomer when the reader itself has gone in an outage

Cause: test_instance_that_starts_in_an_outage_learns_from_its_peers failed once. When the instance that was killed was the reader, its peers passed its announcement on to the reader they knew, which was itself, and with the store silent nobody became the reader: it stayed unready for good. Ruled out: the load of the machine (it fails each time when the reader is the one that restarts, as the test now does on purpose).

An instance whose view nobody confirms tells it to newcomers itself. Reading on and reading anew share their code, the two programs share the server's configuration, and the process tests lie beside the stand-ins that they use.

--- a/packages/baobabring/baobabring/callers/__init__.py
+++ b/packages/baobabring/baobabring/callers/__init__.py
@@ -8,6 +8,7 @@
     has_body,
     read_body,
 )
+from baobabring.callers._server import create_server_config
 
 __all__ = [
     "BadCall",
@@ -15,6 +16,7 @@
     "CallResult",
     "CallerConnectionMiddleware",
     "create_app",
+    "create_server_config",
     "has_body",
     "outcome_name",
     "read_body",
--- a/packages/baobabring/baobabring/program/_node.py
+++ b/packages/baobabring/baobabring/program/_node.py
@@ -10,7 +10,7 @@
 import uvicorn
 import zmq
 
-from baobabring.callers import create_app
+from baobabring.callers import create_app, create_server_config
 from baobabring.calls import longest_deadline_ms
 from baobabring.model import Configuration, TargetState, ZoneState
 from baobabring.operators import create_operators_server, read_certificates
@@ -222,19 +222,7 @@
 
 def _create_caller_server(settings: Settings, parts: Parts) -> uvicorn.Server:
     app = create_app(parts.dispatcher, settings.callers.body_limit_bytes)
-    config = uvicorn.Config(
-        app,
-        http="httptools",
-        ws="none",
-        proxy_headers=False,
-        loop="none",
-        lifespan="off",
-        log_config=None,
-        access_log=False,
-        server_header=False,
-        date_header=False,
-    )
-    return _CallerServer(config)
+    return _CallerServer(create_server_config(app))
 
 
 def _listen(address: str) -> socket.socket:
--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -64,6 +64,7 @@
         self.clock = clock
         self.reader_address: str | None = None
         self.is_reader: Callable[[], bool] = lambda: False
+        self.reader_is_silent: Callable[[], bool] = lambda: False
         self.welcome: Callable[[str], None] = lambda address: None
         self.joined = asyncio.Event()
         self.announced_anew = False
@@ -223,7 +224,7 @@
         if peer is not None:
             peer.questions_per_s = message.questions_per_s
         self.notices.collect(message.failures)
-        if message.joining and self.is_reader():
+        if message.joining and (self.is_reader() or self.reader_is_silent()):
             self._told_instances = {}
             self.welcome(message.address)
 
--- a/packages/baobabring/baobabring/program/entry/_server.py
+++ b/packages/baobabring/baobabring/program/entry/_server.py
@@ -5,10 +5,11 @@
 from collections.abc import Callable
 from functools import partial
 
-import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 from uvicorn.server import ServerState
 
+from baobabring.callers import create_server_config
+
 BACKLOG_CONNECTIONS = 512
 FIRST_KEEP_ALIVE_S = 20
 
@@ -23,19 +24,7 @@
     def __init__(self, app: Callable, address: str) -> None:
         self.address = address
         self.state = ServerState()
-        self._config = uvicorn.Config(
-            app,
-            http="httptools",
-            ws="none",
-            proxy_headers=False,
-            loop="none",
-            lifespan="off",
-            log_config=None,
-            access_log=False,
-            server_header=False,
-            date_header=False,
-            timeout_keep_alive=FIRST_KEEP_ALIVE_S,
-        )
+        self._config = create_server_config(app, FIRST_KEEP_ALIVE_S)
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
--- a/packages/baobabring/baobabring/program/entry/_store_reader.py
+++ b/packages/baobabring/baobabring/program/entry/_store_reader.py
@@ -63,8 +63,7 @@
         """Read what operators wrote, waiting for a first record."""
         if self.operators_known:
             offset = self.shared.operator_offset
-            outcome = await self.store.read(OPERATOR_TOPIC, offset, wait_ms)
-            self._count(outcome)
+            outcome = await self._read_on(OPERATOR_TOPIC, offset, wait_ms)
             if isinstance(outcome, Records):
                 if outcome.next_offset >= self.shared.operator_offset:
                     self.shared.operator_offset = outcome.next_offset
@@ -72,27 +71,17 @@
                 return None
             if isinstance(outcome, StoreFailed):
                 return outcome
-            LOG.info("history gone", topic=OPERATOR_TOPIC, offset=offset)
-        newest = await self.store.newest(OPERATOR_TOPIC)
-        self._count(newest)
+        newest = await self._read_newest(OPERATOR_TOPIC)
         if isinstance(newest, StoreFailed):
             return newest
-        events = self._readable(map(decode_operator_record, newest.records))
-        zones = {event.zone for event in events if isinstance(event, ZoneTakenOut)}
-        changed = self.shared.replace_zones_out(zones)
-        changed |= self.shared.apply(events, self.clock.now_s())
-        self.shared.operator_offset = newest.next_offset
-        self.operators_known = True
-        if changed:
-            self.changed("operators' records read")
+        self._replace_operators(newest)
         return None
 
     async def read_targets(self) -> StoreFailed | None:
         """Read what targets registered."""
         if self.targets_known:
             offset = self.shared.target_offset
-            outcome = await self.store.read(TARGET_TOPIC, offset, 0)
-            self._count(outcome)
+            outcome = await self._read_on(TARGET_TOPIC, offset, 0)
             if isinstance(outcome, Records):
                 if outcome.next_offset >= self.shared.target_offset:
                     self.shared.target_offset = outcome.next_offset
@@ -100,14 +89,36 @@
                 return None
             if isinstance(outcome, StoreFailed):
                 return outcome
-            LOG.info("history gone", topic=TARGET_TOPIC, offset=offset)
-        newest = await self.store.newest(TARGET_TOPIC)
-        self._count(newest)
+        newest = await self._read_newest(TARGET_TOPIC)
         if isinstance(newest, StoreFailed):
             return newest
         self._replace_targets(newest)
         return None
 
+    async def _read_on(
+        self, topic: str, offset: int, wait_ms: int
+    ) -> Records | HistoryGone | StoreFailed:
+        outcome = await self.store.read(topic, offset, wait_ms)
+        self._count(outcome)
+        if isinstance(outcome, HistoryGone):
+            LOG.info("history gone", topic=topic, offset=offset)
+        return outcome
+
+    async def _read_newest(self, topic: str) -> Newest | StoreFailed:
+        newest = await self.store.newest(topic)
+        self._count(newest)
+        return newest
+
+    def _replace_operators(self, newest: Newest) -> None:
+        events = self._readable(map(decode_operator_record, newest.records))
+        zones = {event.zone for event in events if isinstance(event, ZoneTakenOut)}
+        changed = self.shared.replace_zones_out(zones)
+        changed |= self.shared.apply(events, self.clock.now_s())
+        self.shared.operator_offset = newest.next_offset
+        self.operators_known = True
+        if changed:
+            self.changed("operators' records read")
+
     def _replace_targets(self, newest: Newest) -> None:
         records = [decode_target_record(record) for record in newest.records]
         targets = [
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -34,6 +34,8 @@
 MEET_OTHERS_AFTER_S = 1.5
 # A beat this young tells that its sender has just read the store.
 FRESH_BEAT_MS = 200.0
+# Without a reader that lives, whoever knows the view tells it to newcomers.
+SILENT_READER_S = 1.0
 IDLE_CHECK_S = 0.1
 
 ViewListener = Callable[[], None]
@@ -67,6 +69,7 @@
         link.subscribe(ViewDelta, self._heard_delta)
         link.subscribe(ViewRequest, self._heard_request)
         peers.welcome = self._welcome
+        peers.reader_is_silent = self._reader_is_silent
 
     def add_listener(self, listener: ViewListener) -> None:
         """Call `listener` after each change of the view."""
@@ -208,6 +211,12 @@
             now_s = self.clock.now_s()
             self.link.send(request.reply_address, self.shared.state(now_s))
 
+    def _reader_is_silent(self) -> bool:
+        confirmed_at_s = self.shared.confirmed_at_s
+        if confirmed_at_s is None:
+            return True
+        return self.clock.now_s() - confirmed_at_s > SILENT_READER_S
+
     def _welcome(self, address: str) -> None:
         """Tell the view to an instance that has just started."""
         if self.shared.complete:
--- a/scenarios/test_entry_fleet.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_fleet.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 import pytest
+
 from baobabstandins.usersplatform import (
     EntryFleet,
     StandinTarget,
@@ -210,10 +211,27 @@
             await asyncio.sleep(0.1)
 
 
-async def test_instance_that_starts_in_an_outage_learns_from_its_peers(fleet):
-    restarted = fleet.instances[0]
+async def find_reader(fleet):
+    """Return the instance that read the store last."""
+    async with asyncio.timeout(10):
+        while True:
+            for instance in fleet.instances:
+                if instance.log_lines("reads the store for all"):
+                    return instance
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("of_reader", [False, True])
+async def test_instance_that_starts_in_an_outage_learns_from_its_peers(
+    fleet, of_reader
+):
+    await asyncio.sleep(1.5)
+    reader = await find_reader(fleet)
+    others = [instance for instance in fleet.instances if instance is not reader]
+    restarted = reader if of_reader else others[0]
     await restarted.end()
     fleet.store.silent_topics = {"keyed.op", "keyed.servers"}
+    await asyncio.sleep(1.5)
     await restarted.start()
     async with asyncio.timeout(8.0):
         while not await fleet.is_ready(restarted):
