Call probes probes, and heartbeats heartbeats

The entry program said question, ask, beat, news and welcome for what the glossary calls probe and heartbeat, and for the fleet's status and the sending of the view.

--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -2,8 +2,8 @@
 
 from baobabring.entry._admission import (
     Admission,
-    AskAgain,
     Decision,
+    ProbeAgain,
     RefuseCall,
     SendCall,
 )
@@ -13,8 +13,8 @@
 from baobabring.entry._hedging import hedge_at_s
 from baobabring.entry._messages import (
     InstanceAlive,
-    ViewBeat,
     ViewDelta,
+    ViewHeartbeat,
     ViewRequest,
     ViewState,
 )
@@ -41,11 +41,11 @@
     TargetAnswer,
     Undetermined,
 )
-from baobabring.entry._question_budget import QuestionBudget
+from baobabring.entry._probe_rate_budget import ProbeRateBudget
 from baobabring.entry._read_schedule import ReadSchedule, reader_order
 from baobabring.entry._routes import RouteTable, WeightedTurns
 from baobabring.entry._settings import EntrySettings, FleetLimits
-from baobabring.entry._shared_view import FleetNews, SharedView
+from baobabring.entry._shared_view import FleetStatus, SharedView
 from baobabring.entry._target_book import HealthReport, TargetBook, TargetRecord
 from baobabring.entry._view import (
     ConfigurationPublished,
@@ -59,7 +59,7 @@
 
 __all__ = [
     "Admission",
-    "AskAgain",
+    "ProbeAgain",
     "AttemptAnswered",
     "AttemptEnd",
     "AttemptLost",
@@ -80,14 +80,14 @@
     "EntryTarget",
     "FleetEvent",
     "FleetLimits",
-    "FleetNews",
+    "FleetStatus",
     "FleetView",
     "HealthReport",
     "InstanceAlive",
     "LoadReport",
     "NotRun",
     "Offer",
-    "QuestionBudget",
+    "ProbeRateBudget",
     "ReadSchedule",
     "RefuseCall",
     "Rejected",
@@ -101,7 +101,7 @@
     "TargetRegistered",
     "TargetRemoved",
     "Undetermined",
-    "ViewBeat",
+    "ViewHeartbeat",
     "ViewDelta",
     "ViewRequest",
     "ViewState",
--- a/packages/baobabring/baobabring/entry/_admission.py
+++ b/packages/baobabring/baobabring/entry/_admission.py
@@ -10,7 +10,7 @@
 # Calls that wait here longer than this part of their latency goal are better off if
 # their caller comes back.
 WAIT_SHARE_OF_GOAL = 0.125
-ASK_AGAIN_S = 0.012
+PROBE_AGAIN_S = 0.012
 LEAST_RETRY_AFTER_S = 0.03
 # Callers wait at most a third of their time before they come back.
 RETRY_SHARE_OF_TIME_LEFT = 0.3
@@ -30,8 +30,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AskAgain:
-    """Tell to ask targets again, not before `at_s`."""
+class ProbeAgain:
+    """Tell to probe targets again, not before `at_s`."""
 
     at_s: float
 
@@ -44,7 +44,7 @@
     reason: str
 
 
-Decision = SendCall | AskAgain | RefuseCall
+Decision = SendCall | ProbeAgain | RefuseCall
 
 
 class Admission:
@@ -66,14 +66,14 @@
         if free is not None and self._can_be_served(free, call, now_s):
             return SendCall(_best_of(offers, free).target_id, free.finish_ms)
         if others_left:
-            return AskAgain(now_s)
+            return ProbeAgain(now_s)
         if best is not None:
             if self._in_time(best, self._queue_until_s(call), now_s):
                 return SendCall(best.target_id, best.finish_ms)
             if not self._can_be_served(best, call, now_s):
                 return self.refuse(call, best.finish_ms / 2, "too-late", now_s)
         if now_s < self._wait_until_s(call):
-            return AskAgain(now_s + ASK_AGAIN_S * self.rng.uniform(0.7, 1.3))
+            return ProbeAgain(now_s + PROBE_AGAIN_S * self.rng.uniform(0.7, 1.3))
         finish_ms = best.finish_ms if best is not None else call.route.latency_goal_ms
         return self.refuse(call, finish_ms / 2, "overload", now_s)
 
--- a/packages/baobabring/baobabring/entry/_choice.py
+++ b/packages/baobabring/baobabring/entry/_choice.py
@@ -1,4 +1,4 @@
-"""Choice of the targets to ask and of the one to send a call to."""
+"""Choice of the targets to probe and of the one to send a call to."""
 
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
@@ -24,15 +24,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ChoiceSettings:
-    """Bound the questions to targets.
+    """Bound the probes to targets.
 
     Parameters
     ----------
-    asked_targets : int
-        Targets asked for their load before a call is sent to one of them.
+    probed_targets : int
+        Targets probed before a call is sent to one of them.
     """
 
-    asked_targets: int = 4
+    probed_targets: int = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +74,7 @@
         self.configuration = EntryConfiguration()
         self.instances = 1
 
-    def targets_to_ask(
+    def targets_to_probe(
         self,
         service_id: str,
         exclude: Collection[str],
@@ -92,7 +92,7 @@
         ranked = sorted(
             reachable or candidates, key=lambda record: self._rank(record, now_s)
         )
-        return ranked[: count or self.settings.asked_targets]
+        return ranked[: count or self.settings.probed_targets]
 
     def offers(
         self, call: EntryCall, reports: Sequence[HealthReport], now_s: float
@@ -127,7 +127,7 @@
         load = report.load or _assumed_load(record)
         slots = max(1, load.slots)
         occupied = load.running + load.waiting
-        if record.last_sent_at_s > report.asked_at_s:
+        if record.last_sent_at_s > report.probed_at_s:
             occupied += 1
         slowdown = self.estimates.expected_slowdown(call, load.slowdown)
         work_ms = self.estimates.work_ms(call.route) * slowdown
--- a/packages/baobabring/baobabring/entry/_messages.py
+++ b/packages/baobabring/baobabring/entry/_messages.py
@@ -6,7 +6,7 @@
 
 
 class InstanceAlive(msgspec.Struct, array_like=True, frozen=True):
-    """Tell the reader that an instance runs, what it asks targets and what failed.
+    """Tell the reader that an instance runs, how often it probes targets and what failed.
 
     One that is joining knows nothing yet; the reader answers with its view.
     `failures` counts failed calls by target since the last such message.
@@ -14,19 +14,19 @@
 
     sender: str
     address: str
-    questions_per_s: float = 0.0
+    probes_per_s: float = 0.0
     failures: dict[str, int] = {}
     joining: bool = False
     leaving: bool = False
 
 
-class ViewBeat(msgspec.Struct, array_like=True, frozen=True):
+class ViewHeartbeat(msgspec.Struct, array_like=True, frozen=True):
     """Tell that the view was confirmed by the store `age_ms` ago.
 
     `operator_offset` and `target_offset` are where reading goes on. `instances` maps
     the ids of the instances that live to their addresses, None while that is as told
-    before; `questions_per_s` is what all of them ask targets and `failures` counts
-    their failed calls by target since the last beat.
+    before; `probes_per_s` is what all of them send to targets and `failures` counts
+    their failed calls by target since the last heartbeat.
     """
 
     sender: str
@@ -36,7 +36,7 @@
     age_ms: float
     digest: int
     instances: dict[str, str] | None
-    questions_per_s: float
+    probes_per_s: float
     failures: dict[str, int]
 
 
--- a/packages/baobabring/baobabring/entry/_read_schedule.py
+++ b/packages/baobabring/baobabring/entry/_read_schedule.py
@@ -8,7 +8,7 @@
 # Instances that all start at once step in by turns, too.
 FIRST_READ_STEP_S = 0.06
 # A reader that lives tells its view to an instance that joins within this time.
-WELCOME_S = 0.08
+FIRST_VIEW_WAIT_S = 0.08
 FIRST_READ_STEPS_LIMIT = 20
 # Instances of a new fleet learn of each other before one of them reads.
 SETTLE_S = 0.4
@@ -53,7 +53,7 @@
             return max(self._not_before_s, self._confirmed_at_s + READ_INTERVAL_S)
         if not self._ever_confirmed:
             steps = min(self._rank, FIRST_READ_STEPS_LIMIT)
-            first_s = self._settled_at_s + WELCOME_S + steps * FIRST_READ_STEP_S
+            first_s = self._settled_at_s + FIRST_VIEW_WAIT_S + steps * FIRST_READ_STEP_S
             return max(self._not_before_s, first_s)
         steps = min(self._rank, TAKEOVER_STEPS_LIMIT)
         takeover_s = TAKEOVER_S + steps * TAKEOVER_STEP_S
--- a/packages/baobabring/baobabring/entry/_settings.py
+++ b/packages/baobabring/baobabring/entry/_settings.py
@@ -15,8 +15,8 @@
         Repeats allowed in the window besides.
     retry_window_ms : float
         Length of the window.
-    questions_per_target_s : float
-        Questions for its load that a target may get in each second.
+    probes_per_target_s : float
+        Probes for its load that a target may get in each second.
     shutdown_ms : float
         Time from the signal to leave until the process is killed.
     """
@@ -24,7 +24,7 @@
     retry_share: float = 0.2
     retry_slack: float = 20.0
     retry_window_ms: float = 10_000.0
-    questions_per_target_s: float = 60.0
+    probes_per_target_s: float = 60.0
     shutdown_ms: float = 6_000.0
 
 
--- a/packages/baobabring/baobabring/entry/_shared_view.py
+++ b/packages/baobabring/baobabring/entry/_shared_view.py
@@ -6,7 +6,7 @@
 import msgspec
 import xxhash
 
-from baobabring.entry._messages import ViewBeat, ViewDelta, ViewState
+from baobabring.entry._messages import ViewDelta, ViewHeartbeat, ViewState
 from baobabring.entry._model import EntryTarget
 from baobabring.entry._view import (
     ConfigurationPublished,
@@ -23,14 +23,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FleetNews:
+class FleetStatus:
     """Hold what the reader tells of all instances, besides the view.
 
     `instances` maps ids to addresses, None while that is as told before.
     """
 
     instances: dict[str, str] | None = None
-    questions_per_s: float = 0.0
+    probes_per_s: float = 0.0
     failures: dict[str, int] = field(default_factory=dict)
 
 
@@ -102,9 +102,9 @@
             self._digest = (self.version, xxhash.xxh64_intdigest(fields))
         return self._digest[1]
 
-    def beat(self, fleet: FleetNews, now_s: float) -> ViewBeat:
+    def heartbeat(self, fleet: FleetStatus, now_s: float) -> ViewHeartbeat:
         """Return the message that confirms the view to peers."""
-        return ViewBeat(
+        return ViewHeartbeat(
             sender=self.instance_id,
             address=self.address,
             operator_offset=self.operator_offset,
@@ -112,7 +112,7 @@
             age_ms=self._age_ms(now_s),
             digest=self.digest(),
             instances=fleet.instances,
-            questions_per_s=fleet.questions_per_s,
+            probes_per_s=fleet.probes_per_s,
             failures=fleet.failures,
         )
 
@@ -183,15 +183,15 @@
         self.confirm(now_s - delta.age_ms / 1_000)
         return changed
 
-    def heard_beat(self, beat: ViewBeat, now_s: float) -> bool:
+    def heard_heartbeat(self, heartbeat: ViewHeartbeat, now_s: float) -> bool:
         """Take in a peer's confirmation; return whether its view is needed."""
-        if self._is_behind_us(beat):
+        if self._is_behind_us(heartbeat):
             return False
-        if beat.digest != self.digest():
+        if heartbeat.digest != self.digest():
             return True
-        self.operator_offset = beat.operator_offset
-        self.target_offset = beat.target_offset
-        self.confirm(now_s - beat.age_ms / 1_000)
+        self.operator_offset = heartbeat.operator_offset
+        self.target_offset = heartbeat.target_offset
+        self.confirm(now_s - heartbeat.age_ms / 1_000)
         return False
 
     def heard_state(self, state: ViewState, now_s: float) -> bool:
@@ -208,7 +208,7 @@
             self.confirm(now_s - state.age_ms / 1_000)
         return changed
 
-    def _is_behind_us(self, message: ViewBeat | ViewDelta) -> bool:
+    def _is_behind_us(self, message: ViewHeartbeat | ViewDelta) -> bool:
         return (
             message.operator_offset < self.operator_offset
             or message.target_offset < self.target_offset
--- a/packages/baobabring/baobabring/entry/_target_book.py
+++ b/packages/baobabring/baobabring/entry/_target_book.py
@@ -16,13 +16,13 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthReport:
-    """Hold a target's answer to a question for its health."""
+    """Hold a target's answer to a probe for its health."""
 
     target_id: str
     healthy: bool
     load: LoadReport | None
     cold_ms: float
-    asked_at_s: float
+    probed_at_s: float
 
 
 class TargetRecord:
@@ -49,7 +49,7 @@
         return now_s < self.cold_until_s
 
     def take_report(self, report: HealthReport, now_s: float) -> None:
-        """Take in the target's answer to a question."""
+        """Take in the target's answer to a probe."""
         self.healthy = report.healthy
         self.unreachable_until_s = 0.0
         self._unreachable_count = 0
--- a/packages/baobabring/baobabring/entry/tests/builders.py
+++ b/packages/baobabring/baobabring/entry/tests/builders.py
@@ -78,11 +78,11 @@
     waiting: int = 0,
     slots: int = 2,
     slowdown: float = 1.0,
-    asked_at_s: float = 0.0,
+    probed_at_s: float = 0.0,
     **changes,
 ) -> HealthReport:
     """Return a healthy target's answer."""
     fields = {"healthy": True, "cold_ms": 0.0}
     fields.update(changes)
     load = LoadReport(running, waiting, slots, slowdown)
-    return HealthReport(target_id, load=load, asked_at_s=asked_at_s, **fields)
+    return HealthReport(target_id, load=load, probed_at_s=probed_at_s, **fields)
--- a/packages/baobabring/baobabring/entry/tests/test_admission.py
+++ b/packages/baobabring/baobabring/entry/tests/test_admission.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from baobabring.entry import Admission, AskAgain, Offer, RefuseCall, SendCall
+from baobabring.entry import Admission, Offer, ProbeAgain, RefuseCall, SendCall
 from baobabring.entry.tests.builders import build_call, build_route
 
 
@@ -36,7 +36,7 @@
 
 def test_full_targets_are_not_queued_at_while_others_are_left(admission):
     offers = [build_offer(free_slot=False)]
-    assert isinstance(admission.decide(build_call(), offers, True, 0.0), AskAgain)
+    assert isinstance(admission.decide(build_call(), offers, True, 0.0), ProbeAgain)
 
 
 def test_call_queues_at_a_target_that_meets_its_goal(admission):
@@ -49,7 +49,7 @@
     urgent = build_call(build_route(priority=0))
     patient = build_call(build_route(priority=2))
     assert isinstance(admission.decide(urgent, offers, False, 0.0), SendCall)
-    assert isinstance(admission.decide(patient, offers, False, 0.0), AskAgain)
+    assert isinstance(admission.decide(patient, offers, False, 0.0), ProbeAgain)
 
 
 def test_call_that_no_target_can_answer_in_time_is_refused_at_once(admission):
@@ -62,7 +62,7 @@
 def test_wait_ends_early_enough_for_the_caller_to_come_back(admission):
     offers = [build_offer(free_slot=False, finish_ms=900.0)]
     call = build_call()
-    assert isinstance(admission.decide(call, offers, False, 0.05), AskAgain)
+    assert isinstance(admission.decide(call, offers, False, 0.05), ProbeAgain)
     decision = admission.decide(call, offers, False, 0.1)
     assert isinstance(decision, RefuseCall)
     assert decision.reason == "overload"
--- a/packages/baobabring/baobabring/entry/tests/test_choice.py
+++ b/packages/baobabring/baobabring/entry/tests/test_choice.py
@@ -1,4 +1,4 @@
-"""Test which targets are asked and what their answers make of a call."""
+"""Test which targets are probed and what their answers make of a call."""
 
 from random import Random
 
@@ -37,9 +37,9 @@
     return build_choice([build_target(f"t-{number}") for number in range(1, 7)])
 
 
-def asked_ids(choice, exclude=(), now_s=0.0, count=None):
-    """Return the ids of the targets that would be asked."""
-    records = choice.targets_to_ask(SERVICE, exclude, now_s, count)
+def probed_ids(choice, exclude=(), now_s=0.0, count=None):
+    """Return the ids of the targets that would be probed."""
+    records = choice.targets_to_probe(SERVICE, exclude, now_s, count)
     return [record.target.target_id for record in records]
 
 
@@ -49,7 +49,7 @@
         build_target("t-2", draining=True),
         build_target("t-3", zone="south"),
     ]
-    assert asked_ids(build_choice(targets, ["south"])) == ["t-1"]
+    assert probed_ids(build_choice(targets, ["south"])) == ["t-1"]
 
 
 def test_answer_of_a_target_that_left_meanwhile_makes_no_offer(choice):
@@ -60,7 +60,7 @@
 
 
 def test_targets_are_asked_at_random_when_nothing_is_known(choice):
-    seen = {name for _ in range(50) for name in asked_ids(choice)}
+    seen = {name for _ in range(50) for name in probed_ids(choice)}
     assert len(seen) == 6
 
 
@@ -68,7 +68,7 @@
     targets = [build_target(f"t-{n}", zone="north") for n in (1, 2)]
     targets += [build_target(f"t-{n}", zone="south") for n in (3, 4, 5, 6)]
     choice = build_choice(targets)
-    local = sum(len({"t-1", "t-2"} & set(asked_ids(choice))) for _ in range(100))
+    local = sum(len({"t-1", "t-2"} & set(probed_ids(choice))) for _ in range(100))
     assert local > 2 * 100 * 4 / 6
 
 
@@ -100,8 +100,8 @@
         if number % 2:
             record.add_failure(number * 0.1)
     reports = [
-        build_report("t-1", asked_at_s=2.0),
-        build_report("t-2", slowdown=2.0, asked_at_s=2.0),
+        build_report("t-1", probed_at_s=2.0),
+        build_report("t-2", slowdown=2.0, probed_at_s=2.0),
     ]
     assert choice.offers(build_call(), reports, 2.0)[0].target_id == "t-2"
 
@@ -122,9 +122,9 @@
 def test_silent_target_is_left_alone_for_a_moment_unless_all_are(choice):
     for number in range(1, 6):
         choice.book.record(f"t-{number}").did_not_answer(0.0)
-    assert asked_ids(choice, now_s=0.1) == ["t-6"]
+    assert probed_ids(choice, now_s=0.1) == ["t-6"]
     choice.book.record("t-6").did_not_answer(0.0)
-    assert len(asked_ids(choice, now_s=0.1)) == 4
+    assert len(probed_ids(choice, now_s=0.1)) == 4
 
 
 def test_target_that_turns_cold_unannounced_gets_few_calls(choice):
--- a/packages/baobabring/baobabring/entry/tests/test_question_budget.py
+++ b/packages/baobabring/baobabring/entry/tests/test_probe_rate_budget.py
@@ -1,17 +1,17 @@
-"""Test that the fleet's questions stay under the limit, fairly between instances.
+"""Test that the fleet's probes stay under the limit, fairly between instances.
 
 The pattern: most calls arrive at the few instances of one availability zone.
 """
 
-from baobabring.entry import QuestionBudget
+from baobabring.entry import ProbeRateBudget
 
 LIMIT_PER_TARGET_S = 60.0
 TARGETS = 29
 
 
 def play(calls_per_s: list[int], wanted: int, seconds: int):
-    """Return the questions in the last second of each instance."""
-    budgets = [QuestionBudget(LIMIT_PER_TARGET_S) for _ in calls_per_s]
+    """Return the probes in the last second of each instance."""
+    budgets = [ProbeRateBudget(LIMIT_PER_TARGET_S) for _ in calls_per_s]
     for budget in budgets:
         budget.set_targets(TARGETS)
     totals = []
@@ -19,10 +19,10 @@
         for budget, calls in zip(budgets, calls_per_s, strict=True):
             for _ in range(calls):
                 budget.take(wanted)
-        asked = [budget.count_asked() for budget in budgets]
-        totals.append(asked)
+        sent = [budget.count_sent() for budget in budgets]
+        totals.append(sent)
         for budget in budgets:
-            budget.set_fleet_rate(sum(asked))
+            budget.set_fleet_rate(sum(sent))
     return totals
 
 
@@ -34,7 +34,7 @@
 def test_calls_are_asked_for_alike_wherever_they_arrive():
     calls = [100, 100, 100, *[20] * 10]
     last = play(calls, 8, 20)[-1]
-    for_each = [asked / count for asked, count in zip(last, calls, strict=True)]
+    for_each = [sent / count for sent, count in zip(last, calls, strict=True)]
     assert max(for_each) - min(for_each) < 0.2
 
 
@@ -44,7 +44,7 @@
 
 
 def test_each_call_may_ask_once():
-    budget = QuestionBudget(LIMIT_PER_TARGET_S)
+    budget = ProbeRateBudget(LIMIT_PER_TARGET_S)
     budget.set_targets(1)
     for _ in range(20):
         budget.set_fleet_rate(1e6)
--- a/packages/baobabring/baobabring/entry/tests/test_shared_view.py
+++ b/packages/baobabring/baobabring/entry/tests/test_shared_view.py
@@ -2,7 +2,7 @@
 
 from baobabring.entry import (
     ConfigurationPublished,
-    FleetNews,
+    FleetStatus,
     SharedView,
     TargetRegistered,
     TargetRemoved,
@@ -26,7 +26,7 @@
 
 def test_beat_of_an_unknown_view_is_answered_by_a_request():
     other = SharedView("other", "10.0.0.2:1")
-    assert other.heard_beat(build_reader().beat(FleetNews(), 10.0), 10.0)
+    assert other.heard_heartbeat(build_reader().heartbeat(FleetStatus(), 10.0), 10.0)
 
 
 def test_state_of_a_peer_makes_the_view_complete():
@@ -44,7 +44,7 @@
     other.heard_state(reader.state(10.0), 10.0)
     reader.target_offset = 40
     reader.confirm(11.0)
-    assert not other.heard_beat(reader.beat(FleetNews(), 11.5), 11.6)
+    assert not other.heard_heartbeat(reader.heartbeat(FleetStatus(), 11.5), 11.6)
     assert other.target_offset == 40
     assert abs(other.confirmed_at_s - 11.1) < 1e-6
 
@@ -89,7 +89,7 @@
     reader.apply([TargetRegistered(build_target("t-2"))], 10.5)
     other = SharedView("other", "10.0.0.2:1")
     assert other.heard_delta(reader.delta(10.5), 10.6) is None
-    assert other.heard_beat(reader.beat(FleetNews(), 10.6), 10.6)
+    assert other.heard_heartbeat(reader.heartbeat(FleetStatus(), 10.6), 10.6)
 
 
 def test_renewals_alone_make_no_delta():
--- a/packages/baobabring/baobabring/peers/_frames.py
+++ b/packages/baobabring/baobabring/peers/_frames.py
@@ -8,8 +8,8 @@
 from baobabring.balancing import InFlightUpdate
 from baobabring.entry import (
     InstanceAlive,
-    ViewBeat,
     ViewDelta,
+    ViewHeartbeat,
     ViewRequest,
     ViewState,
 )
@@ -41,7 +41,7 @@
     | StateReply
     | SharedProbe
     | InstanceAlive
-    | ViewBeat
+    | ViewHeartbeat
     | ViewState
     | ViewDelta
     | ViewRequest
@@ -57,7 +57,7 @@
     STATE_REPLY = 4
     PROBE = 5
     INSTANCE_ALIVE = 6
-    VIEW_BEAT = 7
+    VIEW_HEARTBEAT = 7
     VIEW_STATE = 8
     VIEW_REQUEST = 9
     VIEW_DELTA = 10
@@ -70,7 +70,7 @@
     MessageKind.STATE_REPLY: StateReply,
     MessageKind.PROBE: SharedProbe,
     MessageKind.INSTANCE_ALIVE: InstanceAlive,
-    MessageKind.VIEW_BEAT: ViewBeat,
+    MessageKind.VIEW_HEARTBEAT: ViewHeartbeat,
     MessageKind.VIEW_STATE: ViewState,
     MessageKind.VIEW_REQUEST: ViewRequest,
     MessageKind.VIEW_DELTA: ViewDelta,
--- a/packages/baobabring/baobabring/platform/node_settings.py
+++ b/packages/baobabring/baobabring/platform/node_settings.py
@@ -139,6 +139,6 @@
         retry_share=fields.number(f"{bounds}.budget-ratio", 0.2),
         retry_slack=fields.number(f"{bounds}.budget-slack", 20.0),
         retry_window_ms=fields.duration_ms(f"{bounds}.budget-window", 10_000.0),
-        questions_per_target_s=fields.number(f"{bounds}.probes-per-s", 60.0),
+        probes_per_target_s=fields.number(f"{bounds}.probes-per-s", 60.0),
         shutdown_ms=fields.duration_ms(f"{bounds}.grace", 6_000.0),
     )
--- a/packages/baobabring/baobabring/platform/wire.py
+++ b/packages/baobabring/baobabring/platform/wire.py
@@ -88,12 +88,12 @@
 
 
 def health_request(health_path: str, address: str) -> bytes:
-    """Return the bytes of a question for a target's health."""
+    """Return the bytes of a probe for a target's health."""
     return f"GET {health_path} HTTP/1.1\r\nhost: {address}\r\n\r\n".encode("latin-1")
 
 
 def read_health_answer(
-    answer: WireAnswer, target_id: str, asked_at_s: float
+    answer: WireAnswer, target_id: str, probed_at_s: float
 ) -> HealthReport | None:
     """Return what a target says of its health, None if another one answered."""
     named = answer.header(TARGET_ID_HEADER)
@@ -105,7 +105,7 @@
         healthy=answer.status == STATUS_OK,
         load=read_load(answer),
         cold_ms=cold_ms,
-        asked_at_s=asked_at_s,
+        probed_at_s=probed_at_s,
     )
 
 
--- a/packages/baobabring/baobabring/program/entry/_call_task.py
+++ b/packages/baobabring/baobabring/program/entry/_call_task.py
@@ -184,7 +184,7 @@
             service=call.service_id,
             tried=progress.tried,
             took_ms=round(took_s * MS_PER_S, 1),
-            questions=progress.questions,
+            probes=progress.probes,
             waited=progress.waited,
             offers=[
                 (o.target_id, o.free_slot, round(o.finish_ms), round(o.cost_ms))
--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -19,7 +19,7 @@
     EntryCall,
     EntryOutcome,
     NotRun,
-    QuestionBudget,
+    ProbeRateBudget,
     RefuseCall,
     TargetAnswer,
     TargetChoice,
@@ -58,7 +58,7 @@
         admission: Admission,
         retry_budget: RetryBudget,
         notices: FailureNotices,
-        budget: QuestionBudget,
+        budget: ProbeRateBudget,
         pool: ConnectionPool,
         clock: Clock,
     ) -> None:
@@ -123,7 +123,7 @@
                 continue
             if self._may_try_again(progress):
                 return second
-            self.chooser.asker.release(second.asked)
+            self.chooser.prober.release(second.answer)
         return None
 
     async def _first_good(self, attempts: list[asyncio.Task]) -> AttemptEnd:
@@ -142,7 +142,7 @@
 
     async def _attempt(self, progress: CallProgress, chosen: Assigned) -> AttemptEnd:
         call, target = progress.call, chosen.record.target
-        connection = chosen.asked.connection
+        connection = chosen.answer.connection
         now_s = self.clock.now_s()
         time_left_ms = (call.answer_by_s - now_s) * MS_PER_S
         request = request_to_target(call, target, time_left_ms)
@@ -179,7 +179,7 @@
         call_id = call.call_id.encode("latin-1")
         try:
             async with asyncio.timeout(call.answer_by_s - sent_at_s):
-                answer = await chosen.asked.connection.exchange(
+                answer = await chosen.answer.connection.exchange(
                     request, CALL_ID_HEADER, call_id
                 )
         except TimeoutError:
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -15,7 +15,7 @@
     ColdLimit,
     EntrySettings,
     FleetLimits,
-    QuestionBudget,
+    ProbeRateBudget,
     ReadSchedule,
     SharedView,
     TargetBook,
@@ -71,7 +71,7 @@
         self.store = StoreClient(settings.store_address, ConnectionPool())
         self.book = TargetBook(settings.instance_id, settings.zone)
         self.notices = FailureNotices(self.book, self.clock)
-        self.budget = QuestionBudget(settings.limits.questions_per_target_s)
+        self.budget = ProbeRateBudget(settings.limits.probes_per_target_s)
         self.peers = PeerTask(
             settings.instance_id,
             settings.peer_address,
@@ -191,7 +191,7 @@
     def _apply_settings(self, settings: EntrySettings) -> None:
         """Take over limits; who the instance is and where it listens stays."""
         self.settings = replace(self.settings, limits=settings.limits)
-        self.budget.questions_per_target_s = settings.limits.questions_per_target_s
+        self.budget.probes_per_target_s = settings.limits.probes_per_target_s
         self._instances_changed()
 
     async def _leave(self) -> None:
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -18,9 +18,7 @@
     "Attempts at targets by how they ended.",
     ("service", "end"),
 )
-QUESTIONS = Counter(
-    "baobabring_entry_questions_total", "Questions to targets for their health."
-)
+PROBES = Counter("baobabring_entry_probes_total", "Probes of targets for their health.")
 STORE_CALLS = Counter(
     "baobabring_entry_store_calls_total", "Calls to the store by outcome.", ("outcome",)
 )
@@ -37,7 +35,7 @@
     "ENTRY_CALLS",
     "ENTRY_CALL_SECONDS",
     "LINES_DROPPED",
-    "QUESTIONS",
+    "PROBES",
     "REGISTRY",
     "STORE_CALLS",
     "TARGETS",
--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -7,10 +7,10 @@
 import logbook
 
 from baobabring.entry import (
-    FleetNews,
+    FleetStatus,
     InstanceAlive,
-    QuestionBudget,
-    ViewBeat,
+    ProbeRateBudget,
+    ViewHeartbeat,
     reader_order,
 )
 from baobabring.platform.store import Newest, StoreClient, StoreFailed
@@ -39,7 +39,7 @@
 
     address: str
     heard_at_s: float
-    questions_per_s: float = 0.0
+    probes_per_s: float = 0.0
 
 
 class PeerTask:
@@ -51,7 +51,7 @@
         address: str,
         store: StoreClient,
         link: PeerLink,
-        budget: QuestionBudget,
+        budget: ProbeRateBudget,
         notices: FailureNotices,
         clock: Clock,
     ) -> None:
@@ -65,14 +65,14 @@
         self.reader_address: str | None = None
         self.is_reader: Callable[[], bool] = lambda: False
         self.reader_is_silent: Callable[[], bool] = lambda: False
-        self.welcome: Callable[[str], None] = lambda address: None
+        self.send_view: Callable[[str], None] = lambda address: None
         self.joined = asyncio.Event()
         self.announced_anew = False
         self._peers: dict[str, _Peer] = {}
         self._listeners: list[Callable[[], None]] = []
         self._silent_until_s: dict[str, float] = {}
         self._told_instances: dict[str, str] = {}
-        self._questions_per_s = 0.0
+        self._probes_per_s = 0.0
         link.subscribe(InstanceAlive, self._heard_alive)
 
     def add_listener(self, listener: Callable[[], None]) -> None:
@@ -92,13 +92,13 @@
         return frozenset(self._peers) | silent | {self.instance_id}
 
     def fleet_rate(self) -> float:
-        """Return the questions that all instances asked in the last second."""
-        peers_per_s = sum(peer.questions_per_s for peer in self._peers.values())
-        return self._questions_per_s + peers_per_s
+        """Return the probes that all instances sent in the last second."""
+        peers_per_s = sum(peer.probes_per_s for peer in self._peers.values())
+        return self._probes_per_s + peers_per_s
 
-    def adopt_fleet_rate(self, questions_per_s: float) -> None:
-        """Scale own questions by what the whole fleet asks."""
-        self.budget.set_fleet_rate(questions_per_s)
+    def adopt_fleet_rate(self, probes_per_s: float) -> None:
+        """Scale own probes by what the whole fleet sends."""
+        self.budget.set_fleet_rate(probes_per_s)
 
     def heard(self, peer_id: str, address: str) -> None:
         """Take in that a peer lives."""
@@ -132,7 +132,7 @@
         await self._join()
         while True:
             await asyncio.sleep(ALIVE_INTERVAL_S)
-            self._questions_per_s = self.budget.count_asked() / ALIVE_INTERVAL_S
+            self._probes_per_s = self.budget.count_sent() / ALIVE_INTERVAL_S
             if self.is_reader():
                 self._drop_silent()
                 continue
@@ -140,7 +140,7 @@
                 InstanceAlive(
                     self.instance_id,
                     self.address,
-                    self._questions_per_s,
+                    self._probes_per_s,
                     self.notices.take_unsent(),
                 )
             )
@@ -149,27 +149,27 @@
         """Tell the reader that this instance leaves."""
         self._tell_reader(InstanceAlive(self.instance_id, self.address, leaving=True))
 
-    def news(self) -> FleetNews:
+    def status(self) -> FleetStatus:
         """Return what this instance, as the reader, tells of all."""
         live = self.live()
         changed = live != self._told_instances
         self._told_instances = live
         self.adopt_fleet_rate(self.fleet_rate())
-        return FleetNews(
+        return FleetStatus(
             live if changed else None,
             self.fleet_rate(),
             self.notices.take_collected(),
         )
 
-    def heard_news(self, beat: ViewBeat) -> None:
+    def heard_status(self, heartbeat: ViewHeartbeat) -> None:
         """Take in what the reader tells of all instances."""
-        self.reader_address = beat.address
+        self.reader_address = heartbeat.address
         self._told_instances = {}
-        self.heard(beat.sender, beat.address)
-        if beat.instances is not None:
-            self.adopt(beat.instances)
-        self.adopt_fleet_rate(beat.questions_per_s)
-        self.notices.heard_totals(beat.failures)
+        self.heard(heartbeat.sender, heartbeat.address)
+        if heartbeat.instances is not None:
+            self.adopt(heartbeat.instances)
+        self.adopt_fleet_rate(heartbeat.probes_per_s)
+        self.notices.heard_totals(heartbeat.failures)
 
     def _tell_reader(self, message: InstanceAlive) -> None:
         """Send to the reader, or to those that are likely to know it."""
@@ -222,11 +222,11 @@
         self.heard(message.sender, message.address)
         peer = self._peers.get(message.sender)
         if peer is not None:
-            peer.questions_per_s = message.questions_per_s
+            peer.probes_per_s = message.probes_per_s
         self.notices.collect(message.failures)
         if message.joining and (self.is_reader() or self.reader_is_silent()):
             self._told_instances = {}
-            self.welcome(message.address)
+            self.send_view(message.address)
 
     def _heard_leaving(self, message: InstanceAlive) -> None:
         if self._peers.pop(message.sender, None) is not None:
--- a/packages/baobabring/baobabring/program/entry/_asker.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -1,4 +1,4 @@
-"""Questions to targets for their load."""
+"""Probes of targets for their load."""
 
 import asyncio
 from collections.abc import Collection
@@ -17,18 +17,18 @@
     health_request,
     read_health_answer,
 )
-from baobabring.program.entry._metrics import QUESTIONS
+from baobabring.program.entry._metrics import PROBES
 from baobabring.utils import Clock
 
 # Targets in the own availability zone answer within a millisecond or their probe's
 # cost; the others are waited for while nobody has answered.
 FIRST_WAIT_S = 0.012
 LAST_WAIT_S = 0.06
-QUESTION_TIMEOUT_S = 0.15
+PROBE_TIMEOUT_S = 0.15
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
+class ProbeAnswer:
     """Hold a target's answer and the connection on which it came."""
 
     report: HealthReport
@@ -36,19 +36,19 @@
     connection: TargetConnection
 
 
-class Asker:
-    """Ask targets for their load, several at once."""
+class Prober:
+    """Probe targets for their load, several at once."""
 
     def __init__(self, pool: ConnectionPool, clock: Clock) -> None:
         self.pool = pool
         self.clock = clock
 
-    async def ask(
+    async def probe(
         self, records: Collection[TargetRecord], health_path: str
-    ) -> list[Asked]:
+    ) -> list[ProbeAnswer]:
         """Return the answers that come in time; late ones only update records."""
         tasks = [
-            asyncio.ensure_future(self._ask_one(record, health_path))
+            asyncio.ensure_future(self._probe_one(record, health_path))
             for record in records
         ]
         if not tasks:
@@ -70,21 +70,23 @@
             task.add_done_callback(self._keep_connection)
         return [task.result() for task in done if task.result() is not None]
 
-    def release(self, asked: Asked) -> None:
+    def release(self, answer: ProbeAnswer) -> None:
         """Take back the connection of an answer that was not chosen."""
-        self.pool.give_back(asked.address, asked.connection)
+        self.pool.give_back(answer.address, answer.connection)
 
     def _keep_connection(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is None and task.result():
             self.release(task.result())
 
-    async def _ask_one(self, record: TargetRecord, health_path: str) -> Asked | None:
+    async def _probe_one(
+        self, record: TargetRecord, health_path: str
+    ) -> ProbeAnswer | None:
         target = record.target
         request = health_request(health_path, target.address)
-        asked_at_s = self.clock.now_s()
-        QUESTIONS.inc()
+        probed_at_s = self.clock.now_s()
+        PROBES.inc()
         try:
-            async with asyncio.timeout(QUESTION_TIMEOUT_S):
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection, answer = await self._exchange(target.address, request)
         except TimeoutError:
             # Its other connections may have gone silent as well.
@@ -94,14 +96,14 @@
         except (ConnectError, ExchangeError):
             record.did_not_answer(self.clock.now_s())
             return None
-        report = read_health_answer(answer, target.target_id, asked_at_s)
+        report = read_health_answer(answer, target.target_id, probed_at_s)
         if report is None:
             # Another target has the address now.
             connection.close()
             record.did_not_answer(self.clock.now_s())
             return None
         record.take_report(report, self.clock.now_s())
-        return Asked(report, target.address, connection)
+        return ProbeAnswer(report, target.address, connection)
 
     async def _exchange(
         self, address: str, request: bytes
--- a/packages/baobabring/baobabring/program/entry/_progress.py
+++ b/packages/baobabring/baobabring/program/entry/_progress.py
@@ -11,7 +11,7 @@
 
     call: EntryCall
     tried: list[str] = field(default_factory=list)
-    questions: int = 0
+    probes: int = 0
     waited: bool = False
     may_have_run: bool = False
     sent: bool = False
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -7,11 +7,11 @@
 import logbook
 
 from baobabring.entry import (
-    FleetNews,
+    FleetStatus,
     ReadSchedule,
     SharedView,
-    ViewBeat,
     ViewDelta,
+    ViewHeartbeat,
     ViewRequest,
     ViewState,
 )
@@ -31,9 +31,9 @@
 RETRY_OPERATORS_S = 0.5
 # Peers may know the view, so an instance joins them before it reads the store.
 JOIN_WAIT_S = 0.5
-MEET_OTHERS_AFTER_S = 1.5
-# A beat this young tells that its sender has just read the store.
-FRESH_BEAT_MS = 200.0
+REFRESH_INSTANCES_AFTER_S = 1.5
+# A heartbeat this young tells that its sender has just read the store.
+FRESH_HEARTBEAT_MS = 200.0
 # Without a reader that lives, whoever knows the view tells it to newcomers.
 SILENT_READER_S = 1.0
 IDLE_CHECK_S = 0.1
@@ -64,11 +64,11 @@
         self._store_lost = False
         self._wake = asyncio.Event()
         self._became_reader = asyncio.Event()
-        link.subscribe(ViewBeat, self._heard_beat)
+        link.subscribe(ViewHeartbeat, self._heard_heartbeat)
         link.subscribe(ViewState, self._heard_state)
         link.subscribe(ViewDelta, self._heard_delta)
         link.subscribe(ViewRequest, self._heard_request)
-        peers.welcome = self._welcome
+        peers.send_view = self._send_view
         peers.reader_is_silent = self._reader_is_silent
 
     def add_listener(self, listener: ViewListener) -> None:
@@ -80,7 +80,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._keep_targets())
             group.create_task(self._keep_operators())
-            group.create_task(self._meet_others())
+            group.create_task(self._refresh_instances())
 
     # Reading
 
@@ -140,7 +140,7 @@
                 self._tell_peers()
             await asyncio.sleep(OPERATOR_PAUSE_S)
 
-    async def _meet_others(self) -> None:
+    async def _refresh_instances(self) -> None:
         """Learn, as a new reader, of instances that announced themselves meanwhile.
 
         Two readers that don't know each other would both go on reading.
@@ -148,7 +148,7 @@
         while True:
             await self._became_reader.wait()
             self._became_reader.clear()
-            await asyncio.sleep(MEET_OTHERS_AFTER_S)
+            await asyncio.sleep(REFRESH_INSTANCES_AFTER_S)
             if self.schedule.is_reader:
                 await self.peers.read_instances()
 
@@ -172,19 +172,19 @@
         if delta is not None:
             self.shared.mark_told()
             self.link.broadcast(delta)
-        self.link.broadcast(self.shared.beat(self.peers.news(), now_s))
+        self.link.broadcast(self.shared.heartbeat(self.peers.status(), now_s))
 
-    def _heard_beat(self, beat: ViewBeat) -> None:
+    def _heard_heartbeat(self, heartbeat: ViewHeartbeat) -> None:
         now_s = self.clock.now_s()
-        self.peers.heard_news(beat)
-        needed = self.shared.heard_beat(beat, now_s)
-        confirmed_at_s = now_s - beat.age_ms / 1_000
-        if beat.age_ms < FRESH_BEAT_MS:
-            self._store_regained(beat.sender)
-        self.schedule.confirmed_by_peer(beat.sender, confirmed_at_s, now_s)
+        self.peers.heard_status(heartbeat)
+        needed = self.shared.heard_heartbeat(heartbeat, now_s)
+        confirmed_at_s = now_s - heartbeat.age_ms / 1_000
+        if heartbeat.age_ms < FRESH_HEARTBEAT_MS:
+            self._store_regained(heartbeat.sender)
+        self.schedule.confirmed_by_peer(heartbeat.sender, confirmed_at_s, now_s)
         if needed:
             request = ViewRequest(self.shared.instance_id, self.shared.address)
-            self.link.send(beat.address, request)
+            self.link.send(heartbeat.address, request)
 
     def _heard_state(self, state: ViewState) -> None:
         now_s = self.clock.now_s()
@@ -200,7 +200,7 @@
         now_s = self.clock.now_s()
         changed = self.shared.heard_delta(delta, now_s)
         if changed is None:
-            # The beat that follows tells where the whole view is to be had.
+            # The heartbeat that follows tells where the whole view is to be had.
             return
         self.shared.mark_told()
         if changed:
@@ -217,13 +217,13 @@
             return True
         return self.clock.now_s() - confirmed_at_s > SILENT_READER_S
 
-    def _welcome(self, address: str) -> None:
+    def _send_view(self, address: str) -> None:
         """Tell the view to an instance that has just started."""
         if self.shared.complete:
             now_s = self.clock.now_s()
             self.link.send(address, self.shared.state(now_s))
-            news = FleetNews(instances=self.peers.live())
-            self.link.send(address, self.shared.beat(news, now_s))
+            status = FleetStatus(instances=self.peers.live())
+            self.link.send(address, self.shared.heartbeat(status, now_s))
 
     def _changed(self, cause: str, peer: str | None = None) -> None:
         view = self.shared.view
--- a/packages/baobabring/baobabring/program/entry/_waiting.py
+++ b/packages/baobabring/baobabring/program/entry/_waiting.py
@@ -1,35 +1,35 @@
-"""Calls that wait for a slot, and the questions asked for all of them."""
+"""Calls that wait for a slot, and the probes sent for all of them."""
 
 import asyncio
 from dataclasses import dataclass, field
 
 from baobabring.entry import (
     Admission,
-    AskAgain,
     EntryCall,
     Offer,
-    QuestionBudget,
+    ProbeAgain,
+    ProbeRateBudget,
     RefuseCall,
     SendCall,
     TargetChoice,
     TargetRecord,
 )
-from baobabring.program.entry._asker import Asked, Asker
+from baobabring.program.entry._prober import ProbeAnswer, Prober
 from baobabring.utils import Clock
 
-# Between two rounds of questions about as much time passes as a slot's change takes
+# Between two rounds of probes about as much time passes as a slot's change takes
 # to matter.
 ROUND_INTERVAL_S = 0.012
 SCARCE_ROUND_INTERVAL_S = 0.04
-TARGETS_PER_WAITING_CALL = 2
+PROBES_PER_WAITING_CALL = 2
 
 
 @dataclass(frozen=True, slots=True)
 class Assigned:
-    """Give a call to a target on the connection on which that was asked."""
+    """Give a call to a target on the connection on which that was probed."""
 
     record: TargetRecord
-    asked: Asked
+    answer: ProbeAnswer
     offer: Offer
 
 
@@ -46,8 +46,8 @@
         self.order = (self.call.route.priority, self.call.arrived_at_s)
 
 
-class WaitingRoom:
-    """Ask targets in rounds for all calls of a service that wait.
+class WaitQueue:
+    """Probe targets in rounds for all calls of a service that wait.
 
     More urgent calls choose first in each round, then earlier ones.
     """
@@ -56,13 +56,13 @@
         self,
         choice: TargetChoice,
         admission: Admission,
-        asker: Asker,
-        budget: QuestionBudget,
+        prober: Prober,
+        budget: ProbeRateBudget,
         clock: Clock,
     ) -> None:
         self.choice = choice
         self.admission = admission
-        self.asker = asker
+        self.prober = prober
         self.budget = budget
         self.clock = clock
         self._waiters: dict[str, list[Waiter]] = {}
@@ -85,7 +85,7 @@
         waiters.append(waiter)
         waiters.sort(key=lambda waiter: waiter.order)
         if call.service_id not in self._rounds:
-            task = asyncio.ensure_future(self._ask_in_rounds(call.service_id))
+            task = asyncio.ensure_future(self._probe_in_rounds(call.service_id))
             self._rounds[call.service_id] = task
         try:
             return await decision
@@ -99,54 +99,54 @@
 
     def _return_assigned(self, decided: Assigned | RefuseCall) -> None:
         if isinstance(decided, Assigned):
-            self.asker.release(decided.asked)
+            self.prober.release(decided.answer)
 
-    async def _ask_in_rounds(self, service_id: str) -> None:
+    async def _probe_in_rounds(self, service_id: str) -> None:
         waiters = self._waiters[service_id]
         try:
             while waiters:
-                await self._ask_round(service_id, waiters)
+                await self._probe_round(service_id, waiters)
                 scarce = self.budget.scarce
                 pause_s = SCARCE_ROUND_INTERVAL_S if scarce else ROUND_INTERVAL_S
                 await asyncio.sleep(pause_s)
         finally:
             del self._rounds[service_id]
 
-    async def _ask_round(self, service_id: str, waiters: list[Waiter]) -> None:
+    async def _probe_round(self, service_id: str, waiters: list[Waiter]) -> None:
         now_s = self.clock.now_s()
         service = self.choice.configuration.services.get(service_id)
-        asked: dict[str, Asked] = {}
+        answers: dict[str, ProbeAnswer] = {}
         if service is not None:
-            wanted = len(waiters) * TARGETS_PER_WAITING_CALL
-            wanted = max(wanted, self.choice.settings.asked_targets)
+            wanted = len(waiters) * PROBES_PER_WAITING_CALL
+            wanted = max(wanted, self.choice.settings.probed_targets)
             granted = self.budget.take(wanted)
-            records = self.choice.targets_to_ask(service_id, (), now_s, granted)
-            answers = await self.asker.ask(records, service.health_path)
-            asked = {answer.report.target_id: answer for answer in answers}
+            records = self.choice.targets_to_probe(service_id, (), now_s, granted)
+            answers = await self.prober.probe(records, service.health_path)
+            answers = {answer.report.target_id: answer for answer in answers}
         for waiter in list(waiters):
             if not waiter.decision.done():
-                self._decide(waiter, asked)
+                self._decide(waiter, answers)
         waiters[:] = [waiter for waiter in waiters if not waiter.decision.done()]
-        for left_over in asked.values():
-            self.asker.release(left_over)
+        for left_over in answers.values():
+            self.prober.release(left_over)
 
-    def _decide(self, waiter: Waiter, asked: dict[str, Asked]) -> None:
+    def _decide(self, waiter: Waiter, answers: dict[str, ProbeAnswer]) -> None:
         now_s = self.clock.now_s()
         reports = [
             answer.report
-            for answer in asked.values()
+            for answer in answers.values()
             if answer.report.target_id not in waiter.exclude
         ]
         offers = self.choice.offers(waiter.call, reports, now_s)
         decision = self.admission.decide(waiter.call, offers, False, now_s)
-        if isinstance(decision, AskAgain):
+        if isinstance(decision, ProbeAgain):
             return
         if isinstance(decision, SendCall):
             offer = next(o for o in offers if o.target_id == decision.target_id)
             waiter.decision.set_result(
                 Assigned(
                     self.choice.book.record(decision.target_id),
-                    asked.pop(decision.target_id),
+                    answers.pop(decision.target_id),
                     offer,
                 )
             )
--- a/packages/baobabring/baobabring/program/entry/tests/test_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_peer_task.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from baobabring.entry import FleetNews, QuestionBudget, SharedView, TargetBook
+from baobabring.entry import FleetStatus, ProbeRateBudget, SharedView, TargetBook
 from baobabring.program.entry._failure_notices import FailureNotices
 from baobabring.program.entry._peer_task import REMEMBERED_S, SILENT_S, PeerTask
 
@@ -45,7 +45,7 @@
 def peers(clock) -> PeerTask:
     """Return the peers of the instance `i-0`, which has heard of two."""
     notices = FailureNotices(TargetBook("i-0", "north"), clock)
-    budget = QuestionBudget(60.0)
+    budget = ProbeRateBudget(60.0)
     task = PeerTask("i-0", "10.0.0.0:1", None, FakeLink(), budget, notices, clock)
     task.heard("i-1", "10.0.0.1:1")
     task.heard("i-2", "10.0.0.2:1")
@@ -70,16 +70,16 @@
 
 
 def test_addresses_travel_only_when_they_changed(peers):
-    assert peers.news().instances is not None
-    assert peers.news().instances is None
+    assert peers.status().instances is not None
+    assert peers.status().instances is None
     peers.heard("i-3", "10.0.0.3:1")
-    assert "i-3" in peers.news().instances
+    assert "i-3" in peers.status().instances
 
 
 def test_reader_list_is_taken_over(peers, clock):
     reader = SharedView("i-9", "10.0.0.9:1")
-    news = FleetNews(instances={"i-9": "10.0.0.9:1", "i-4": "10.0.0.4:1"})
-    peers.heard_news(reader.beat(news, clock.now_s()))
+    status = FleetStatus(instances={"i-9": "10.0.0.9:1", "i-4": "10.0.0.4:1"})
+    peers.heard_status(reader.heartbeat(status, clock.now_s()))
     assert {"i-4", "i-9"} <= peers.live().keys()
     peers.leave()
     assert [address for address, _ in peers.link.sent] == ["10.0.0.9:1"]
--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True)
 class StandinTarget:
-    """Serve calls and questions for health on bare connections."""
+    """Serve calls and probes for health on bare connections."""
 
     target_id: str
     service_id: str
