--- a/packages/baobabring/baobabring/entry/_messages.py
+++ b/packages/baobabring/baobabring/entry/_messages.py
@@ -6,7 +6,7 @@
 
 
 class InstanceAlive(msgspec.Struct, array_like=True, frozen=True):
-    """Tell the reader that an instance runs, how often it probes targets and what failed.
+    """Tell the reader that an instance runs, how often it probes and what failed.
 
     One that is joining knows nothing yet; the reader answers with its view.
     `failures` counts failed calls by target since the last such message.
--- a/packages/baobabring/baobabring/program/entry/_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_chooser.py
@@ -50,8 +50,7 @@
             decision = await self._probe_once(progress, exclude)
             if not isinstance(decision, ProbeAgain):
                 return decision
-        progress.waited = True
-        return await self.waiting.wait(call, exclude)
+        return await self.waiting.wait(progress, exclude)
 
     async def choose_hedge(self, progress: CallProgress) -> Assigned | None:
         """Return a second target with a free slot, None if there is none to spare."""
--- a/packages/baobabring/baobabring/program/entry/_waiting.py
+++ b/packages/baobabring/baobabring/program/entry/_waiting.py
@@ -15,6 +15,7 @@
     TargetRecord,
 )
 from baobabring.program.entry._prober import ProbeAnswer, Prober
+from baobabring.program.entry._progress import CallProgress
 from baobabring.utils import Clock
 
 # Between two rounds of probes about as much time passes as a slot's change takes
@@ -37,13 +38,14 @@
 class Waiter:
     """Hold a call that waits and the future that ends its wait."""
 
-    call: EntryCall
+    progress: CallProgress
     exclude: frozenset[str]
     decision: asyncio.Future[Assigned | RefuseCall]
     order: tuple[int, float] = field(init=False)
 
     def __post_init__(self) -> None:
-        self.order = (self.call.route.priority, self.call.arrived_at_s)
+        call = self.progress.call
+        self.order = (call.route.priority, call.arrived_at_s)
 
 
 class WaitQueue:
@@ -71,16 +73,18 @@
     def is_ahead_of(self, call: EntryCall) -> bool:
         """Tell whether calls wait that are as urgent as this one or more."""
         return any(
-            waiter.call.route.priority <= call.route.priority
+            waiter.progress.call.route.priority <= call.route.priority
             for waiter in self._waiters.get(call.service_id, ())
         )
 
     async def wait(
-        self, call: EntryCall, exclude: frozenset[str]
+        self, progress: CallProgress, exclude: frozenset[str]
     ) -> Assigned | RefuseCall:
         """Wait for a slot, or for the decision to refuse the call."""
+        call = progress.call
+        progress.waited = True
         decision = asyncio.get_running_loop().create_future()
-        waiter = Waiter(call, exclude, decision)
+        waiter = Waiter(progress, exclude, decision)
         waiters = self._waiters.setdefault(call.service_id, [])
         waiters.append(waiter)
         waiters.sort(key=lambda waiter: waiter.order)
@@ -137,8 +141,10 @@
             for answer in answers.values()
             if answer.report.target_id not in waiter.exclude
         ]
-        offers = self.choice.offers(waiter.call, reports, now_s)
-        decision = self.admission.decide(waiter.call, offers, False, now_s)
+        call = waiter.progress.call
+        offers = self.choice.offers(call, reports, now_s)
+        waiter.progress.offers = offers
+        decision = self.admission.decide(call, offers, False, now_s)
         if isinstance(decision, ProbeAgain):
             return
         if isinstance(decision, SendCall):
