--- a/packages/baobabring/baobabring/entry/_admission.py
+++ b/packages/baobabring/baobabring/entry/_admission.py
@@ -60,7 +60,7 @@
         others_left: bool,
         now_s: float,
     ) -> Decision:
-        """Decide by the offers, best first; `others_left` tells of unasked targets."""
+        """Decide by the offers, best first; `others_left` tells of others to probe."""
         free = next((offer for offer in offers if offer.free_slot), None)
         best = min(offers, key=lambda offer: offer.finish_ms, default=None)
         if free is not None and self._can_be_served(free, call, now_s):
--- a/packages/baobabring/baobabring/entry/_choice.py
+++ b/packages/baobabring/baobabring/entry/_choice.py
@@ -9,7 +9,7 @@
 from baobabring.entry._model import EntryCall, EntryConfiguration, LoadReport
 from baobabring.entry._target_book import HealthReport, TargetBook, TargetRecord
 
-# Load reports are worth little after the time in which a machine's speed changes.
+# Load reports are worth little after the time in which a target's speed changes.
 REPORT_LIFETIME_S = 0.3
 JITTER_CALLS = 0.5
 REMOTE_ZONE_CALLS = 0.35
--- a/packages/baobabring/baobabring/platform/records.py
+++ b/packages/baobabring/baobabring/platform/records.py
@@ -23,6 +23,8 @@
 
 OPERATOR_TOPIC = "keyed.op"
 TARGET_TOPIC = "keyed.servers"
+# Our own: where instances announce their addresses.
+INSTANCE_TOPIC = "keyed.instances"
 CONFIGURATION_KEY = "config"
 ZONE_OUT_PREFIX = "evacuate/"
 IDEMPOTENT_TYPE = "safe"
--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -13,6 +13,7 @@
     ViewHeartbeat,
     reader_order,
 )
+from baobabring.platform.records import INSTANCE_TOPIC
 from baobabring.platform.store import Newest, StoreClient, StoreFailed
 from baobabring.program._peer_link import PeerLink
 from baobabring.program.entry._failure_notices import FailureNotices
@@ -21,7 +22,6 @@
 
 LOG = logbook.Logger("peers")
 
-INSTANCE_TOPIC = "keyed.instances"
 ALIVE_INTERVAL_S = 0.5
 # An instance that knows no reader tells these, the likeliest ones.
 CONTACTS = 3
