Take out what the change left dead, and choose an assigned target in one place

Found on a last read: an offer's work and an attempt's reached_target that nobody read, the book's length, an export list in a private module, and the metric of dropped log lines, which was declared and never fed. The chooser and the wait queue each built the same assignment. No decision changes.

--- a/packages/baobabring/baobabring/entry/_choice.py
+++ b/packages/baobabring/baobabring/entry/_choice.py
@@ -40,14 +40,13 @@
     """Hold what one target would make of a call.
 
     `cost_ms` adds the risk of a failure and the delay of other calls to the time
-    until the answer, `work_ms` leaves the time in the target's queue out. A call is
-    `crowded` that takes the target's last slot or waits for one.
+    until the answer. A call is `crowded` that takes the target's last slot or waits
+    for one.
     """
 
     target_id: str
     free_slot: bool
     finish_ms: float
-    work_ms: float
     cost_ms: float
     slowdown: float = 1.0
     crowded: bool = False
@@ -152,7 +151,6 @@
             target_id=record.target.target_id,
             free_slot=ahead == 0,
             finish_ms=finish_ms,
-            work_ms=work_ms,
             cost_ms=cost_ms,
             slowdown=slowdown,
             crowded=crowded,
--- a/packages/baobabring/baobabring/entry/_outcomes.py
+++ b/packages/baobabring/baobabring/entry/_outcomes.py
@@ -74,8 +74,6 @@
 class AttemptNotRun:
     """Tell that the target refused before work, or that no byte was sent to it."""
 
-    reached_target: bool
-
 
 @dataclass(frozen=True, slots=True)
 class AttemptLost:
--- a/packages/baobabring/baobabring/entry/_target_book.py
+++ b/packages/baobabring/baobabring/entry/_target_book.py
@@ -140,9 +140,6 @@
         record = self._records.get(target_id)
         return record is not None and self._may_work(record.target)
 
-    def __len__(self) -> int:
-        return len(self._records)
-
     def _used_records(self, targets: list[EntryTarget]) -> list[TargetRecord]:
         subset = choose_subset(self.instance_id, self.zone, targets)
         return [self._records[target.target_id] for target in subset]
--- a/packages/baobabring/baobabring/entry/tests/test_admission.py
+++ b/packages/baobabring/baobabring/entry/tests/test_admission.py
@@ -11,7 +11,7 @@
 def build_offer(target_id="t-1", free_slot=True, finish_ms=200.0, cost_ms=None):
     """Return an offer; its cost is its time unless said otherwise."""
     cost_ms = finish_ms if cost_ms is None else cost_ms
-    return Offer(target_id, free_slot, finish_ms, finish_ms, cost_ms)
+    return Offer(target_id, free_slot, finish_ms, cost_ms)
 
 
 @pytest.fixture
--- a/packages/baobabring/baobabring/program/entry/_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_chooser.py
@@ -13,7 +13,7 @@
 )
 from baobabring.program.entry._prober import ProbeAnswer, Prober
 from baobabring.program.entry._progress import CallProgress
-from baobabring.program.entry._waiting import Assigned, WaitQueue
+from baobabring.program.entry._waiting import Assigned, WaitQueue, assign
 from baobabring.utils import Clock
 
 PROBE_ROUNDS = 3
@@ -100,7 +100,8 @@
             )
             decision = self.admission.decide(call, progress.offers, others_left, now_s)
             if isinstance(decision, SendCall):
-                return self._take(decision, progress, answers)
+                target_id = decision.target_id
+                return assign(target_id, progress.offers, answers, self.choice.book)
             if isinstance(decision, RefuseCall) or not others_left:
                 return decision
         return ProbeAgain(now_s)
@@ -121,14 +122,3 @@
                 self.choice.estimates.observe_slowdown(
                     service.service_id, answer.report.load.slowdown
                 )
-
-    def _take(
-        self,
-        decision: SendCall,
-        progress: CallProgress,
-        answers: dict[str, ProbeAnswer],
-    ) -> Assigned:
-        answer = answers.pop(decision.target_id)
-        record = self.choice.book.record(decision.target_id)
-        offer = next(o for o in progress.offers if o.target_id == decision.target_id)
-        return Assigned(record, answer, offer)
--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -186,7 +186,7 @@
             return AttemptLost(CallProblem.TIMEOUT)
         except ExchangeError as error:
             if error.failure is ExchangeFailure.NOT_SENT:
-                return AttemptNotRun(reached_target=False)
+                return AttemptNotRun()
             return AttemptLost(CallProblem.CONNECTION_LOST)
         now_s = self.clock.now_s()
         load = read_load(answer)
@@ -198,7 +198,7 @@
         self, call: EntryCall, chosen: Assigned, answer: WireAnswer, took_s: float
     ) -> AttemptEnd:
         if says_not_run(answer):
-            return AttemptNotRun(reached_target=True)
+            return AttemptNotRun()
         if not from_target_program(answer):
             return AttemptLost(CallProblem.BAD_ANSWER)
         offer = chosen.offer
--- a/packages/baobabring/baobabring/program/entry/_main.py
+++ b/packages/baobabring/baobabring/program/entry/_main.py
@@ -19,6 +19,7 @@
 )
 from baobabring.program.entry._instance import EntryInstance
 from baobabring.program.entry._line_log import LineHandler
+from baobabring.program.entry._metrics import LINES_DROPPED
 
 EXIT_OK = 0
 EXIT_INVALID_SETTINGS = 2
@@ -43,7 +44,9 @@
         print(f"{name}: valid")
         return EXIT_OK
     logging.getLogger().handlers = [RedirectLoggingHandler()]
-    with LineHandler().applicationbound():
+    handler = LineHandler()
+    LINES_DROPPED.set_function(lambda: handler.dropped)
+    with handler.applicationbound():
         uvloop.run(_serve(settings, path))
     return EXIT_OK
 
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -1,6 +1,6 @@
 """Counters and histograms of an entry instance."""
 
-from prometheus_client import REGISTRY, Counter, Gauge, Histogram
+from prometheus_client import Counter, Gauge, Histogram
 
 from baobabring.program._metrics import LATENCY_BUCKETS_S
 
@@ -29,15 +29,3 @@
 LINES_DROPPED = Gauge(
     "baobabring_entry_log_lines_dropped", "Log lines that were not written."
 )
-
-__all__ = [
-    "ENTRY_ATTEMPTS",
-    "ENTRY_CALLS",
-    "ENTRY_CALL_SECONDS",
-    "LINES_DROPPED",
-    "PROBES",
-    "REGISTRY",
-    "STORE_CALLS",
-    "TARGETS",
-    "VIEW_AGE",
-]
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -36,7 +36,7 @@
 FRESH_HEARTBEAT_MS = 200.0
 # Without a reader that lives, whoever knows the view tells it to newcomers.
 SILENT_READER_S = 1.0
-IDLE_CHECK_S = 0.1
+IDLE_CHECK_S = 0.2
 
 ViewListener = Callable[[], None]
 
@@ -95,7 +95,7 @@
                 self._changed("registrations expired")
             due_s = self.schedule.next_read_at_s()
             if due_s > now_s:
-                await asyncio.sleep(min(due_s - now_s, IDLE_CHECK_S * 2))
+                await asyncio.sleep(min(due_s - now_s, IDLE_CHECK_S))
                 continue
             await self._read_once()
 
--- a/packages/baobabring/baobabring/program/entry/_waiting.py
+++ b/packages/baobabring/baobabring/program/entry/_waiting.py
@@ -1,6 +1,7 @@
 """Calls that wait for a slot, and the probes sent for all of them."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from baobabring.entry import (
@@ -11,6 +12,7 @@
     ProbeRateBudget,
     RefuseCall,
     SendCall,
+    TargetBook,
     TargetChoice,
     TargetRecord,
 )
@@ -34,6 +36,17 @@
     offer: Offer
 
 
+def assign(
+    target_id: str,
+    offers: Sequence[Offer],
+    answers: dict[str, ProbeAnswer],
+    book: TargetBook,
+) -> Assigned:
+    """Give a call to a target, and take that one's answer out of the others."""
+    offer = next(offer for offer in offers if offer.target_id == target_id)
+    return Assigned(book.record(target_id), answers.pop(target_id), offer)
+
+
 @dataclass(slots=True, eq=False)
 class Waiter:
     """Hold a call that waits and the future that ends its wait."""
@@ -148,13 +161,8 @@
         if isinstance(decision, ProbeAgain):
             return
         if isinstance(decision, SendCall):
-            offer = next(o for o in offers if o.target_id == decision.target_id)
-            waiter.decision.set_result(
-                Assigned(
-                    self.choice.book.record(decision.target_id),
-                    answers.pop(decision.target_id),
-                    offer,
-                )
-            )
+            target_id = decision.target_id
+            assigned = assign(target_id, offers, answers, self.choice.book)
+            waiter.decision.set_result(assigned)
             return
         waiter.decision.set_result(decision)
