Serve routes of the type download, and those of a type that is unknown here

Change: calls of download routes are idempotent. A route whose type is unknown is served too, its calls are not repeated, and a warning names route and type.

--- a/packages/baobabring/baobabring/platform/records.py
+++ b/packages/baobabring/baobabring/platform/records.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+import logbook
 import msgspec
 
 from baobabring.entry import (
@@ -21,13 +22,16 @@
 )
 from baobabring.platform.units import InvalidValueError, parse_duration_ms
 
+LOG = logbook.Logger("records")
+
 OPERATOR_TOPIC = "keyed.op"
 TARGET_TOPIC = "keyed.servers"
 # Written by the instances themselves to announce their addresses.
 INSTANCE_TOPIC = "keyed.instances"
 CONFIGURATION_KEY = "config"
 ZONE_OUT_PREFIX = "evacuate/"
-IDEMPOTENT_ROUTE_TYPE = "safe"
+# The calls of a route whose type is unknown here are not repeated either.
+IDEMPOTENT_ROUTE_TYPES = frozenset({"safe", "download"})
 NON_IDEMPOTENT_ROUTE_TYPE = "unsafe"
 READY_STATE = "ready"
 DRAINING_STATE = "draining"
@@ -163,6 +167,7 @@
 
 def _decode_configuration(value: bytes) -> EntryConfiguration:
     stored = _configuration_decoder.decode(value)
+    _log_unknown_route_types(stored)
     limits = CallerLimits(
         header_limit_bytes=stored.limits.max_header_bytes,
         body_limit_bytes=stored.limits.max_body_bytes,
@@ -190,7 +195,7 @@
                 route_id=rule.name,
                 host=listener.host.lower(),
                 path_prefix=rule.match.path_prefix,
-                idempotent=_is_idempotent(rule),
+                idempotent=rule.route_type in IDEMPOTENT_ROUTE_TYPES,
                 services=_decode_services(rule),
                 timeout_ms=parse_duration_ms(rule.action.timeout),
                 latency_goal_ms=parse_duration_ms(rule.target_latency),
@@ -199,12 +204,17 @@
             )
 
 
-def _is_idempotent(rule: _Rule) -> bool:
-    if rule.route_type not in (IDEMPOTENT_ROUTE_TYPE, NON_IDEMPOTENT_ROUTE_TYPE):
-        raise InvalidValueError(
-            f"route {rule.name!r}: unknown route-type {rule.route_type!r}"
-        )
-    return rule.route_type == IDEMPOTENT_ROUTE_TYPE
+def _log_unknown_route_types(stored: _Configuration) -> None:
+    known_types = IDEMPOTENT_ROUTE_TYPES | {NON_IDEMPOTENT_ROUTE_TYPE}
+    for listener in stored.listeners:
+        for rule in listener.rule_set:
+            if rule.route_type not in known_types:
+                LOG.warning(
+                    "unknown route type, its calls are not repeated",
+                    route=rule.name,
+                    route_type=rule.route_type,
+                    configuration=stored.version,
+                )
 
 
 def _decode_services(rule: _Rule) -> tuple[WeightedService, ...]:
