Pass long responses on while they are received

Cause: a response was held whole before its first byte went on, however long its body and however slow the link, with no bound on what all responses held together.

Change: a body that is complete within 20 ms is held whole, so that a call whose response is cut short in that time is still repeated. After that, the response is passed on as it arrives. What is held for one body and for all is bounded; beyond it the target waits. A caller that leaves stops the receipt, the deadline ends one that isn't complete, and a body that breaks off leaves the caller's response visibly incomplete. The time of the transfer is estimated apart from the target's work. Attempts have a module of their own.

Ruled out: passing on from the first byte (each cut response would fail its caller, where most are complete within some ms on a fast link); holding up to a number of bytes (says nothing about the time, which is what the caller waits for).

--- a/packages/baobabring/baobabring/callers/__init__.py
+++ b/packages/baobabring/baobabring/callers/__init__.py
@@ -2,6 +2,7 @@
 
 from baobabring.callers._app import CallHandler, create_app
 from baobabring.callers._requests import (
+    CallerConnection,
     CallerConnectionMiddleware,
     RejectedRequest,
     get_encoded_path,
@@ -15,6 +16,7 @@
     "RejectedRequest",
     "CallHandler",
     "CallResult",
+    "CallerConnection",
     "CallerConnectionMiddleware",
     "create_app",
     "create_server_config",
--- a/packages/baobabring/baobabring/connections/__init__.py
+++ b/packages/baobabring/baobabring/connections/__init__.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client connections that carry one request at a time."""
 
+from baobabring.connections._body import BodyMemory, ReceivedBody
 from baobabring.connections._connection import (
     ExchangeError,
     ExchangeFailure,
@@ -9,10 +10,12 @@
 from baobabring.connections._pool import ConnectError, ConnectionPool
 
 __all__ = [
+    "BodyMemory",
     "ConnectError",
     "ConnectionPool",
     "ExchangeError",
     "ExchangeFailure",
     "HttpConnection",
     "HttpResponse",
+    "ReceivedBody",
 ]
--- a/packages/baobabring/baobabring/connections/_connection.py
+++ b/packages/baobabring/baobabring/connections/_connection.py
@@ -11,8 +11,12 @@
 
 import httptools
 
+from baobabring.connections._body import BodyMemory, ReceivedBody
+from baobabring.entry import BodyEnd
+
 RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
 INFORMATIONAL_STATUSES = range(100, 200)
+SUCCESS_STATUSES = range(200, 300)
 NO_CONTENT_STATUSES = frozenset({204, 304})
 # Responses to HEAD state the length of a body that they don't contain.
 HEAD_METHOD_PREFIX = b"HEAD "
@@ -21,6 +25,11 @@
 # Keeps a request from being sent just as the target closes the idle connection.
 KEEP_ALIVE_MARGIN_S = 0.4
 TIMEOUT_PREFIX = b"timeout="
+# A body that is complete within this time is returned whole, so that a call whose
+# response is cut short can be repeated. Otherwise it is passed on as it arrives.
+WHOLE_BODY_WAIT_S = 0.02
+# Bodies up to this size are returned as bytes once they are complete.
+SMALL_BODY_BYTES = 64 * 1024
 
 
 class ExchangeFailure(StrEnum):
@@ -50,11 +59,17 @@
 
 @dataclass(slots=True)
 class HttpResponse:
-    """Represent a response as received; header names are in lower case."""
+    """Represent a response as received; header names are in lower case.
+
+    If `stream` is set, it has the body and `body` is empty.
+    """
 
     status: int = 0
     headers: list[tuple[bytes, bytes]] = field(default_factory=list)
-    body: bytearray = field(default_factory=bytearray)
+    body: bytearray | bytes = field(default_factory=bytearray)
+    stream: ReceivedBody | None = None
+    # Time from the headers until the response was returned.
+    body_took_s: float = 0.0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header."""
@@ -68,13 +83,15 @@
 class _Exchange:
     """Represent the request in progress and the call id expected in its response.
 
-    With `headers_only`, the response has no body, whatever its headers state.
+    With `headers_only`, the response has no body, whatever its headers state. With
+    `body_memory`, the body of a success may be returned as a stream.
     """
 
     response: asyncio.Future[HttpResponse]
     id_header: bytes
     id_value: bytes | None
     headers_only: bool
+    body_memory: BodyMemory | None
 
 
 class HttpConnection(asyncio.Protocol):
@@ -90,7 +107,9 @@
         self._exchange: _Exchange | None = None
         self._response: HttpResponse | None = None
         self._headers_complete = False
+        self._headers_at_s = 0.0
         self._body_ends_at_close = False
+        self._stream_timer: asyncio.TimerHandle | None = None
 
     @property
     def closed(self) -> bool:
@@ -103,19 +122,27 @@
         return self._exchange is not None
 
     def exchange(
-        self, request: bytes, id_header: bytes, id_value: bytes | None
+        self,
+        request: bytes,
+        id_header: bytes,
+        id_value: bytes | None,
+        body_memory: BodyMemory | None = None,
     ) -> asyncio.Future[HttpResponse]:
         """Send a request and return a future of its response or an `ExchangeError`.
 
         If a response has the header `id_header`, its value must be `id_value`. With
-        None, a response that has the header at all belongs to another call.
+        None, a response that has the header at all belongs to another call. With
+        `body_memory`, a success whose body is long or takes long is returned with a
+        stream of its body.
         """
         future = self._loop.create_future()
         if self.closed or self._exchange is not None:
             future.set_exception(ExchangeError(ExchangeFailure.NOT_SENT))
             return future
         headers_only = request.startswith(HEAD_METHOD_PREFIX)
-        self._exchange = _Exchange(future, id_header, id_value, headers_only)
+        self._exchange = _Exchange(
+            future, id_header, id_value, headers_only, body_memory
+        )
         self.used = True
         self._transport.write(request)
         return future
@@ -124,6 +151,7 @@
         """Close the connection at once, so that the target stops its work."""
         self.reusable = False
         self._exchange = None
+        self._end_stream(BodyEnd.CUT_SHORT)
         if self._transport is not None:
             self._transport.abort()
 
@@ -188,6 +216,7 @@
             return
         response = self._response
         response.status = self._parser.get_status_code()
+        self._headers_at_s = self._loop.time()
         self._headers_complete = True
         has_length = any(
             name in (b"content-length", b"transfer-encoding")
@@ -201,6 +230,45 @@
         is_last = response.status not in INFORMATIONAL_STATUSES
         if is_last and self._exchange is not None and self._exchange.headers_only:
             self._finish_without_body(response)
+        elif not bodiless and self._may_stream(response):
+            self._create_stream(response)
+
+    def _may_stream(self, response: HttpResponse) -> bool:
+        return (
+            self._exchange is not None
+            and self._exchange.body_memory is not None
+            and response.status in SUCCESS_STATUSES
+            and not self._is_for_other_call(response)
+        )
+
+    def _create_stream(self, response: HttpResponse) -> None:
+        """Receive the body as a stream, and return it if it isn't complete in time."""
+        length = response.header(b"content-length")
+        response.stream = ReceivedBody(
+            int(length) if length is not None and length.isdigit() else None,
+            self._exchange.body_memory,
+            self._transport,
+        )
+        self._stream_timer = self._loop.call_later(
+            WHOLE_BODY_WAIT_S, self._return_response
+        )
+
+    def _return_response(self) -> None:
+        """Return the response to its exchange, complete or with a stream."""
+        if self._stream_timer is not None:
+            self._stream_timer.cancel()
+            self._stream_timer = None
+        exchange = self._exchange
+        if exchange is not None and not exchange.response.done():
+            self._response.body_took_s = self._loop.time() - self._headers_at_s
+            exchange.response.set_result(self._response)
+
+    def _end_stream(self, end: BodyEnd) -> None:
+        if self._stream_timer is not None:
+            self._stream_timer.cancel()
+            self._stream_timer = None
+        if self._response is not None and self._response.stream is not None:
+            self._response.stream.finish(end)
 
     def _finish_without_body(self, response: HttpResponse) -> None:
         """End a response after its headers; the parser still expects a body."""
@@ -214,6 +282,12 @@
         """Append a part of the body to the response."""
         if self._response is None:
             return
+        stream = self._response.stream
+        if stream is not None:
+            stream.feed(body)
+            if stream.exceeds_limit:
+                self._return_response()
+            return
         self._response.body += body
         if len(self._response.body) > RESPONSE_LIMIT_BYTES:
             self._fail(ExchangeFailure.TOO_LARGE)
@@ -252,18 +326,29 @@
         return received is not None and received != exchange.id_value
 
     def _finish(self) -> None:
-        exchange, response = self._exchange, self._response
-        self._exchange = None
-        self._response = None
         if self._transport is not None and self._transport.get_write_buffer_size():
             # The target responded before it had received the whole request.
             self.reusable = False
-        if exchange is not None and not exchange.response.done():
-            exchange.response.set_result(response)
+        response = self._response
+        returned = self._exchange is None or self._exchange.response.done()
+        stream = response.stream
+        if (
+            stream is not None
+            and not returned
+            and stream.held_bytes <= SMALL_BODY_BYTES
+        ):
+            response.body = stream.pop_all()
+            response.stream = None
+        self._return_response()
+        self._exchange = None
+        self._response = None
+        if stream is not None:
+            stream.finish(BodyEnd.COMPLETE)
 
     def _fail(self, failure: ExchangeFailure) -> None:
         exchange = self._exchange
         self._exchange = None
+        self._end_stream(BodyEnd.CUT_SHORT)
         self._response = None
         self.reusable = False
         if self._transport is not None:
--- a/packages/baobabring/baobabring/entry/_estimates.py
+++ b/packages/baobabring/baobabring/entry/_estimates.py
@@ -22,6 +22,7 @@
     def __init__(self) -> None:
         self._routes: dict[str, MovingAverage] = {}
         self._services: dict[str, MovingAverage] = {}
+        self._transfers: dict[str, MovingAverage] = {}
         self._slowdowns: dict[str, MovingAverage] = {}
         self._saturation_slowdowns: dict[str, MovingAverage] = {}
 
@@ -37,6 +38,22 @@
         average = self._services.get(service_id)
         return average.value if average is not None else 100.0
 
+    def transfer_ms(self, route: EntryRoute) -> float:
+        """Return the mean time that the bodies of a route's responses take to arrive.
+
+        It depends on the link of this instance, not on the speed of the target.
+        """
+        average = self._transfers.get(route.route_id)
+        return average.value if average is not None else 0.0
+
+    def record_transfer(self, route: EntryRoute, took_ms: float) -> None:
+        """Update the estimate with the time from a response's headers to its end."""
+        average = self._transfers.get(route.route_id)
+        if average is None:
+            average = MovingAverage(took_ms, WORK_GAIN)
+            self._transfers[route.route_id] = average
+        average.add(took_ms)
+
     def saturation_slowdown(self, service_id: str) -> float:
         """Return the factor on the processing time at a target without free slots."""
         average = self._saturation_slowdowns.get(service_id)
@@ -65,6 +82,8 @@
     ) -> None:
         """Update the estimates with the duration of a call that found a free slot.
 
+        `took_ms` ends with the headers of the response, since the body's transfer does
+        not depend on the target's speed.
         `slowdown` is the slowdown expected during the call. `saturated` is set if the
         call took the target's last slot.
         """
--- a/packages/baobabring/baobabring/entry/_outcomes.py
+++ b/packages/baobabring/baobabring/entry/_outcomes.py
@@ -1,5 +1,7 @@
 """Outcomes of calls and of attempts at an entry instance."""
 
+from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -22,13 +24,66 @@
     INTERNAL = "internal"
 
 
+class BodyEnd(StrEnum):
+    """Represent how the receipt of a body ended."""
+
+    COMPLETE = "complete"
+    CUT_SHORT = "cut-short"
+    TIMEOUT = "timeout"
+    CALLER_LEFT = "caller-left"
+
+
+class BodyEndedError(Exception):
+    """Report that the rest of a body will not be received.
+
+    Parameters
+    ----------
+    end : BodyEnd
+        How the receipt ended.
+    """
+
+    def __init__(self, end: BodyEnd) -> None:
+        super().__init__(end.value)
+        self.end = end
+
+
+class BodyStream(ABC):
+    """Body of a response that is passed on to the caller while it is received.
+
+    `length_bytes` is None if the target did not state the length.
+    """
+
+    def __init__(self, length_bytes: int | None) -> None:
+        self.length_bytes = length_bytes
+
+    @abstractmethod
+    async def read(self, size_bytes: int) -> bytes:
+        """Return the next bytes, none at the end; raises `BodyEndedError`."""
+
+    @abstractmethod
+    def abandon(self) -> None:
+        """Drop the body, also if it is complete, and stop its receipt."""
+
+    @abstractmethod
+    def expire(self) -> None:
+        """Drop the body if it is not complete yet."""
+
+    @abstractmethod
+    def add_end_callback(self, callback: Callable[[BodyEnd], None]) -> None:
+        """Call `callback` once the receipt has ended, at once if it has already."""
+
+
 @dataclass(frozen=True, slots=True)
 class TargetResponse:
-    """Represent the complete response of a target, as passed on to the caller."""
+    """Represent the response of a target, as passed on to the caller.
+
+    If `stream` is set, it has the body and `body` is empty.
+    """
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
+    stream: BodyStream | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/baobabring/baobabring/entry/_settings.py
+++ b/packages/baobabring/baobabring/entry/_settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+DEFAULT_BODY_MEMORY_BYTES = 32_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class FleetLimits:
@@ -30,7 +32,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
-    """Represent the identity, addresses and limits of an entry instance."""
+    """Represent the identity, addresses and limits of an entry instance.
+
+    `body_memory_bytes` limits the bodies of responses that it holds for callers.
+    """
 
     instance_id: str
     zone: str
@@ -40,3 +45,4 @@
     store_address: str
     metrics_host: str
     limits: FleetLimits
+    body_memory_bytes: int = DEFAULT_BODY_MEMORY_BYTES
--- a/packages/baobabring/baobabring/entry/_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/_target_ranker.py
@@ -141,7 +141,8 @@
             running = min(occupied, slots)
             others_ms = (saturation - 1.0) * REMAINING_WORK_SHARE * service_ms * running
         ahead = max(0, occupied + 1 - slots)
-        finish_ms = work_ms + ahead * service_ms / slots
+        transfer_ms = self.estimates.transfer_ms(call.route)
+        finish_ms = work_ms + ahead * service_ms / slots + transfer_ms
         goal_ms = call.route.latency_goal_ms
         risk = record.failure_rate(self.instance_count, now_s) * FAILURE_COST_GOALS
         if not report.healthy:
--- a/packages/baobabring/baobabring/platform/node_settings.py
+++ b/packages/baobabring/baobabring/platform/node_settings.py
@@ -8,6 +8,10 @@
 from baobabring.platform.units import InvalidValueError, parse_duration_ms
 
 SETTINGS_VARIABLE = "BAOBABRING_SETTINGS"
+DEFAULT_MEMORY_MB = 256.0
+# The rest is for the program itself and for requests.
+BODY_SHARE_OF_MEMORY = 0.125
+BYTES_PER_MB = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,12 +138,18 @@
         store_address=reader.get_address("platform.platform.address"),
         metrics_host=ip,
         limits=_read_limits(reader),
+        body_memory_bytes=_read_body_memory_bytes(reader),
     )
     if reader.findings:
         raise InvalidNodeSettingsError(reader.findings)
     return settings
 
 
+def _read_body_memory_bytes(reader: _FieldReader) -> int:
+    memory_mb = reader.get_number("local-node.limits.memory-mb", DEFAULT_MEMORY_MB)
+    return int(memory_mb * BODY_SHARE_OF_MEMORY * BYTES_PER_MB)
+
+
 def _read_limits(reader: _FieldReader) -> FleetLimits:
     table = "terms.bounds"
     return FleetLimits(
--- a/packages/baobabring/baobabring/program/entry/_app.py
+++ b/packages/baobabring/baobabring/program/entry/_app.py
@@ -15,6 +15,8 @@
     read_body,
 )
 from baobabring.entry import (
+    BodyEndedError,
+    BodyStream,
     CallProblem,
     Delivered,
     EntryOutcome,
@@ -22,7 +24,9 @@
     Rejected,
     Undetermined,
 )
+from baobabring.platform.wire import parse_caller_headers
 from baobabring.program.entry._call_runner import CallerRequest, CallRunner
+from baobabring.program.entry._caller_body import CallerBody, CutBodyMiddleware
 
 REJECTION_STATUSES = {
     CallProblem.NO_ROUTE: HTTPStatus.NOT_FOUND,
@@ -31,6 +35,8 @@
 }
 # Used if the retry time has passed when the response is written.
 MIN_RETRY_AFTER_S = 0.01
+# In this version, the end of a body of unknown length can only be told by closing.
+HTTP_WITHOUT_CHUNKS = "1.0"
 
 
 class EntrySink:
@@ -55,6 +61,8 @@
             return
         outcome = await self._serve(request, body, arrived_at_s)
         write_outcome(response, outcome, self.call_runner.clock.now_s())
+        if isinstance(outcome, Delivered) and outcome.response.stream is not None:
+            await write_stream(request, response, outcome.response.stream)
         if self.call_runner.shutting_down:
             response.set_header("Connection", "close")
 
@@ -95,7 +103,8 @@
         response.status = outcome.response.status
         for name, value in outcome.response.headers:
             response.append_header(name.decode("latin-1"), value.decode("latin-1"))
-        response.data = outcome.response.body
+        if outcome.response.stream is None:
+            response.data = outcome.response.body
         return
     if isinstance(outcome, NotRun):
         response.status = HTTPStatus.SERVICE_UNAVAILABLE
@@ -111,6 +120,30 @@
     response.data = outcome.problem.value.encode()
 
 
+async def write_stream(
+    request: falcon.asgi.Request, response: falcon.asgi.Response, stream: BodyStream
+) -> None:
+    """Let a response pass on the body of a stream."""
+    connection = request.scope[CallerConnectionMiddleware.SCOPE_KEY]
+    call_id = parse_caller_headers(request.scope["headers"]).call_id or b""
+    body = CallerBody(call_id.decode("latin-1"), stream, connection)
+    if stream.length_bytes is not None:
+        response.set_header("Content-Length", str(stream.length_bytes))
+    elif request.scope["http_version"] == HTTP_WITHOUT_CHUNKS:
+        await write_whole_body(response, body)
+        return
+    response.stream = body
+
+
+async def write_whole_body(response: falcon.asgi.Response, body: CallerBody) -> None:
+    """Set the whole body of a response, or the failure to receive it."""
+    try:
+        response.data = await body.read_to_end()
+    except BodyEndedError:
+        response.status = HTTPStatus.BAD_GATEWAY
+        response.data = CallProblem.CONNECTION_LOST.value.encode()
+
+
 class ReadyResource:
     """Serve the readiness check of the platform's load balancer."""
 
@@ -136,7 +169,7 @@
     """Return the application for callers."""
     app = falcon.asgi.App()
     app.add_sink(EntrySink(call_runner), "/")
-    return CallerConnectionMiddleware(app)
+    return CallerConnectionMiddleware(CutBodyMiddleware(app))
 
 
 def create_ready_app(call_runner: CallRunner):
--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -2,51 +2,27 @@
 
 import asyncio
 
-from baobabring.connections import (
-    ConnectionPool,
-    ExchangeError,
-    ExchangeFailure,
-    HttpResponse,
-)
 from baobabring.entry import (
     Admission,
     AttemptAnswered,
     AttemptEnd,
     AttemptLost,
-    AttemptNotRun,
     CallProblem,
     Delivered,
-    EntryCall,
     EntryOutcome,
     NotRun,
-    ProbeRateBudget,
     RefuseCall,
-    TargetRanker,
-    TargetRecord,
-    TargetResponse,
     Undetermined,
     hedge_at_s,
 )
-from baobabring.platform.wire import (
-    CALL_ID_HEADER,
-    build_target_request,
-    filter_response_headers,
-    has_target_signature,
-    is_not_run_response,
-    parse_load,
-)
-from baobabring.program.entry._failure_counts import FailureCounts
-from baobabring.program.entry._metrics import ENTRY_ATTEMPTS
+from baobabring.program.entry._attempt_runner import AttemptRunner, is_failure
 from baobabring.program.entry._progress import CallProgress
 from baobabring.program.entry._target_chooser import MIN_TIME_LEFT_S, TargetChooser
 from baobabring.program.entry._wait_queue import Assignment
 from baobabring.retries import RetryBudget
 from baobabring.utils import Clock
 
-MS_PER_S = 1_000
 MAX_HEDGE_CHECKS = 3
-SUCCESS_STATUSES = range(200, 300)
-FAILURE_STATUSES = range(500, 600)
 
 
 class Forwarder:
@@ -54,21 +30,17 @@
 
     def __init__(
         self,
-        ranker: TargetRanker,
+        chooser: TargetChooser,
+        attempts: AttemptRunner,
         admission: Admission,
         retry_budget: RetryBudget,
-        failure_counts: FailureCounts,
-        probe_budget: ProbeRateBudget,
-        pool: ConnectionPool,
         clock: Clock,
     ) -> None:
-        self.ranker = ranker
+        self.chooser = chooser
+        self.attempts = attempts
         self.admission = admission
         self.retry_budget = retry_budget
-        self.failure_counts = failure_counts
-        self.pool = pool
         self.clock = clock
-        self.chooser = TargetChooser(ranker, admission, probe_budget, pool, clock)
 
     async def forward(self, progress: CallProgress) -> EntryOutcome:
         """Attempt a call at targets until it has an outcome, and return the outcome."""
@@ -97,17 +69,20 @@
         now_s = self.clock.now_s()
         at_s = hedge_at_s(call, now_s, assignment.offer.finish_ms, attempts_made)
         if at_s is None:
-            return await self._attempt(progress, assignment)
-        attempts = [asyncio.ensure_future(self._attempt(progress, assignment))]
+            return await self.attempts.run(progress, assignment)
+        attempts = [asyncio.ensure_future(self.attempts.run(progress, assignment))]
+        end = None
         try:
             second = await self._hedge_when_late(progress, attempts[0], at_s - now_s)
             if second is not None:
-                attempt = asyncio.ensure_future(self._attempt(progress, second))
+                attempt = asyncio.ensure_future(self.attempts.run(progress, second))
                 attempts.append(attempt)
-            return await self._first_success(attempts)
+            end = await self._first_success(attempts)
+            return end
         finally:
             for attempt in attempts:
                 attempt.cancel()
+                _abandon_unused_stream(attempt, end)
 
     async def _hedge_when_late(
         self, progress: CallProgress, first: asyncio.Task, interval_s: float
@@ -138,88 +113,11 @@
             )
             ends = [task.result() for task in done]
             for end in ends:
-                if isinstance(end, AttemptAnswered) and not _is_failure(end):
+                if isinstance(end, AttemptAnswered) and not is_failure(end):
                     return end
             if not pending:
                 return ends[0]
 
-    async def _attempt(
-        self, progress: CallProgress, assignment: Assignment
-    ) -> AttemptEnd:
-        call, target = progress.call, assignment.record.target
-        connection = assignment.probe_response.connection
-        now_s = self.clock.now_s()
-        time_left_ms = (call.deadline_s - now_s) * MS_PER_S
-        request = build_target_request(call, target, time_left_ms)
-        progress.tried_targets.append(target.target_id)
-        progress.sent = True
-        self.ranker.record_call_sent(target.target_id, now_s)
-        end: AttemptEnd = AttemptLost(CallProblem.CALLER_LEFT)
-        try:
-            end = await self._exchange(progress, assignment, request)
-        finally:
-            assignment.record.record_call_ended()
-            if connection.busy:
-                connection.abandon()
-            else:
-                self.pool.return_connection(target.address, connection)
-        ENTRY_ATTEMPTS.labels(call.service_id, type(end).__name__).inc()
-        self._record_end(progress, assignment.record, end)
-        return end
-
-    def _record_end(
-        self, progress: CallProgress, record: TargetRecord, end: AttemptEnd
-    ) -> None:
-        if isinstance(end, AttemptNotRun):
-            return
-        progress.may_have_run = True
-        if isinstance(end, AttemptLost) or _is_failure(end):
-            self.failure_counts.count_failure(record.target.target_id)
-
-    async def _exchange(
-        self, progress: CallProgress, assignment: Assignment, request: bytes
-    ) -> AttemptEnd:
-        call = progress.call
-        sent_at_s = self.clock.now_s()
-        call_id = call.call_id.encode("latin-1")
-        try:
-            async with asyncio.timeout(call.deadline_s - sent_at_s):
-                response = await assignment.probe_response.connection.exchange(
-                    request, CALL_ID_HEADER, call_id
-                )
-        except TimeoutError:
-            return AttemptLost(CallProblem.TIMEOUT)
-        except ExchangeError as error:
-            if error.failure is ExchangeFailure.NOT_SENT:
-                return AttemptNotRun()
-            return AttemptLost(CallProblem.CONNECTION_LOST)
-        now_s = self.clock.now_s()
-        load = parse_load(response)
-        if load is not None:
-            assignment.record.record_load(load, now_s)
-        return self._read_response(call, assignment, response, now_s - sent_at_s)
-
-    def _read_response(
-        self,
-        call: EntryCall,
-        assignment: Assignment,
-        response: HttpResponse,
-        took_s: float,
-    ) -> AttemptEnd:
-        if is_not_run_response(response):
-            return AttemptNotRun()
-        if not has_target_signature(response):
-            return AttemptLost(CallProblem.BAD_ANSWER)
-        offer = assignment.offer
-        if response.status in SUCCESS_STATUSES and offer.has_free_slot:
-            self.ranker.estimates.record_work(
-                call, took_s * MS_PER_S, offer.slowdown, offer.saturated
-            )
-        headers = tuple(filter_response_headers(response))
-        return AttemptAnswered(
-            TargetResponse(response.status, headers, bytes(response.body))
-        )
-
     # Outcomes
 
     def _outcome_after(
@@ -229,7 +127,7 @@
         call = progress.call
         if isinstance(end, AttemptAnswered):
             progress.last_response = end.response
-            repeatable = call.route.idempotent and _is_failure(end)
+            repeatable = call.route.idempotent and is_failure(end)
             if repeatable and self._try_spend_retry(progress):
                 return None
             return Delivered(end.response)
@@ -274,5 +172,12 @@
         return Undetermined(problem)
 
 
-def _is_failure(end: AttemptAnswered) -> bool:
-    return end.response.status in FAILURE_STATUSES
+def _abandon_unused_stream(attempt: asyncio.Task, used: AttemptEnd | None) -> None:
+    """Abandon the stream of an attempt's response unless that is the one used."""
+    if not attempt.done() or attempt.cancelled() or attempt.exception():
+        return
+    end = attempt.result()
+    if end is used or not isinstance(end, AttemptAnswered):
+        return
+    if end.response.stream is not None:
+        end.response.stream.abandon()
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -8,7 +8,7 @@
 
 import logbook
 
-from baobabring.connections import ConnectionPool
+from baobabring.connections import BodyMemory, ConnectionPool
 from baobabring.entry import (
     Admission,
     CallerLimits,
@@ -32,13 +32,15 @@
     create_metrics_app,
     create_ready_app,
 )
+from baobabring.program.entry._attempt_runner import AttemptRunner
 from baobabring.program.entry._call_runner import CallRunner
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._forwarder import Forwarder
-from baobabring.program.entry._metrics import TARGETS, VIEW_AGE
+from baobabring.program.entry._metrics import BODY_BYTES, TARGETS, VIEW_AGE
 from baobabring.program.entry._peer_task import PeerTask
 from baobabring.program.entry._server import HttpServer
 from baobabring.program.entry._settings_task import SettingsTask
+from baobabring.program.entry._target_chooser import TargetChooser
 from baobabring.program.entry._view_task import ViewTask
 from baobabring.retries import RetryBudget, RetrySettings
 from baobabring.utils import BoottimeClock
@@ -106,13 +108,18 @@
         )
         self.retry_budget = RetryBudget(retry_settings(settings.limits, 1))
         self.pool = ConnectionPool()
+        admission = Admission(rng)
+        body_memory = BodyMemory(settings.body_memory_bytes)
+        BODY_BYTES.set_function(lambda: body_memory.held_bytes)
         forwarder = Forwarder(
-            self.ranker,
-            Admission(rng),
+            TargetChooser(
+                self.ranker, admission, self.probe_budget, self.pool, self.clock
+            ),
+            AttemptRunner(
+                self.ranker, self.failure_counts, self.pool, body_memory, self.clock
+            ),
+            admission,
             self.retry_budget,
-            self.failure_counts,
-            self.probe_budget,
-            self.pool,
             self.clock,
         )
         self.call_runner = CallRunner(self.shared_view, forwarder, self.clock, rng)
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -18,6 +18,12 @@
     "Attempts at targets by how they ended.",
     ("service", "end"),
 )
+ENTRY_STREAMS = Counter(
+    "baobabring_entry_streams_total",
+    "Bodies passed on while they were received, by how their receipt ended.",
+    ("service", "end"),
+)
+BODY_BYTES = Gauge("baobabring_entry_body_bytes", "Bytes of bodies held for callers.")
 PROBES = Counter("baobabring_entry_probes_total", "Probes of targets for their health.")
 STORE_CALLS = Counter(
     "baobabring_entry_store_calls_total", "Calls to the store by outcome.", ("outcome",)
--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -11,6 +11,7 @@
 
 TARGET_TOPIC = "keyed.servers"
 HEADER_END = b"\r\n\r\n"
+DOWNLOAD_PART_BYTES = 16 * 1024
 
 
 class TargetFault(StrEnum):
@@ -46,6 +47,10 @@
     service_time_s: float = 0.02
     fault: TargetFault = TargetFault.NONE
     warmup_left_ms: float = 0.0
+    # Size of the bodies that are sent in parts, and the pause before each part.
+    download_bytes: int = 0
+    part_interval_s: float = 0.0
+    sent_parts: int = 0
     runs: list[CallRun] = field(default_factory=list)
     cancelled_calls: int = 0
     address: str = ""
@@ -137,6 +142,8 @@
         self.runs.append(CallRun(call_id, path, body, time.time(), time_left_ms))
         if not await self._run_call(reader):
             return False
+        if self.download_bytes:
+            return await self._send_download(writer, call_headers)
         return self._finish_call(writer, call_headers, method)
 
     async def _run_call(self, reader: asyncio.StreamReader) -> bool:
@@ -152,6 +159,24 @@
         finally:
             self.running_calls -= 1
 
+    async def _send_download(
+        self, writer: asyncio.StreamWriter, call_headers: dict
+    ) -> bool:
+        """Send a long body in parts; one that is cut short ends halfway."""
+        signature = {"X-Baobabring-Upstream-Signature": f"s.{self.target_id}"}
+        headers = {**call_headers, **signature}
+        self._write_response(writer, 200, headers, length=self.download_bytes)
+        cut_short = self.fault is TargetFault.CUT_SHORT
+        left_bytes = self.download_bytes // 2 if cut_short else self.download_bytes
+        while left_bytes:
+            await asyncio.sleep(self.part_interval_s)
+            part_bytes = min(left_bytes, DOWNLOAD_PART_BYTES)
+            writer.write(b"d" * part_bytes)
+            await writer.drain()
+            self.sent_parts += 1
+            left_bytes -= part_bytes
+        return not cut_short
+
     def _finish_call(
         self, writer: asyncio.StreamWriter, call_headers: dict, method: str
     ) -> bool:
