--- a/benchmarks/balancing_choice.py
+++ b/benchmarks/balancing_choice.py
@@ -24,8 +24,8 @@
     Service,
     Target,
 )
-from baobabring.peers import decode_message, encode_message
 from baobabring.platform import LogRecord, Page
+from baobabring.program._peer_messages import INSTANCE_MESSAGES
 from tabulate import tabulate
 
 PEER_COUNT = 13
@@ -119,7 +119,7 @@
     apply_us = []
     for round_number in range(100, 100 + ROUNDS):
         payloads = [
-            encode_message(update)
+            INSTANCE_MESSAGES.encode(update)
             for number in range(CHOICES_PER_ROUND // PEER_COUNT)
             for update in make_peer_updates(
                 target_count, 1_000 * round_number + number, now_s
@@ -127,14 +127,14 @@
         ]
         started_s = time.perf_counter()
         for payload in payloads:
-            balancer.sharing.apply(decode_message(payload), now_s)
+            balancer.sharing.apply(INSTANCE_MESSAGES.decode(payload), now_s)
         apply_us.append(_elapsed_us_per_item(started_s, len(payloads)))
         elapsed_s = 0.0
         for number in range(CHOICES_PER_ROUND):
             now_s += 0.05
             balancer.record_attempt_start(f"target-{number % target_count}", now_s)
             started_s = time.perf_counter()
-            encode_message(balancer.sharing.pop_due_update(now_s))
+            INSTANCE_MESSAGES.encode(balancer.sharing.pop_due_update(now_s))
             elapsed_s += time.perf_counter() - started_s
             balancer.record_attempt_end(f"target-{number % target_count}", None, now_s)
         build_us.append(1e6 * elapsed_s / CHOICES_PER_ROUND)
@@ -153,7 +153,7 @@
         update = InFlightUpdate(
             "instance-1", 1_764_800_000_000_000, 1.8e9, False, counts
         )
-        rows.append((count, len(encode_message(update))))
+        rows.append((count, len(INSTANCE_MESSAGES.encode(update))))
     return rows
 
 
--- a/benchmarks/capacity_messages.py
+++ b/benchmarks/capacity_messages.py
@@ -5,8 +5,8 @@
     TargetCount,
 )
 from baobabring.membership import Heartbeat
-from baobabring.peers import decode_message, encode_message
 from baobabring.platform import InstanceState
+from baobabring.program._peer_messages import INSTANCE_MESSAGES
 from capacity_slopes import measure_size_slope, measure_time_slope, print_slopes
 
 ID_LENGTHS = (8, 16, 32, 64)
@@ -49,29 +49,31 @@
         measure_time_slope(
             "update encode, per target",
             TARGET_COUNTS,
-            lambda n: _bind(encode_message, make_update(n)),
+            lambda n: _bind(INSTANCE_MESSAGES.encode, make_update(n)),
         ),
         measure_time_slope(
             "update decode, per target",
             TARGET_COUNTS,
-            lambda n: _bind(decode_message, encode_update(n)),
+            lambda n: _bind(INSTANCE_MESSAGES.decode, encode_update(n)),
         ),
     ]
     heartbeats = [
         measure_size_slope(
             "heartbeat, per byte of id",
             ID_LENGTHS,
-            lambda n: encode_message(make_heartbeat(n)),
+            lambda n: INSTANCE_MESSAGES.encode(make_heartbeat(n)),
         ),
         measure_time_slope(
             "heartbeat encode, per byte of id",
             ID_LENGTHS,
-            lambda n: _bind(encode_message, make_heartbeat(n)),
+            lambda n: _bind(INSTANCE_MESSAGES.encode, make_heartbeat(n)),
         ),
         measure_time_slope(
             "heartbeat decode, per byte of id",
             ID_LENGTHS,
-            lambda n: _bind(decode_message, encode_message(make_heartbeat(n))),
+            lambda n: _bind(
+                INSTANCE_MESSAGES.decode, INSTANCE_MESSAGES.encode(make_heartbeat(n))
+            ),
         ),
     ]
     print_slopes("Messages between instances", heartbeats + updates)
@@ -79,7 +81,7 @@
 
 def encode_update(target_count: int) -> bytes:
     """Return an encoded update with the counts of this many targets."""
-    return encode_message(make_update(target_count))
+    return INSTANCE_MESSAGES.encode(make_update(target_count))
 
 
 def _bind(action, argument):
--- a/benchmarks/capacity_peers.py
+++ b/benchmarks/capacity_peers.py
@@ -12,7 +12,8 @@
 from pathlib import Path
 
 import zmq
-from baobabring.peers import create_peer_transport, encode_message
+from baobabring.peers import create_peer_transport
+from baobabring.program._peer_messages import INSTANCE_MESSAGES
 from capacity_messages import make_heartbeat
 from capacity_slopes import fit_cost_slope, print_slopes
 
@@ -53,7 +54,7 @@
 
 async def send_rounds(transport, addresses: list[str], duration_s: float) -> int:
     """Send heartbeats to all peers in rounds; return the number of dropped frames."""
-    frame = encode_message(make_heartbeat(16))
+    frame = INSTANCE_MESSAGES.encode(make_heartbeat(16))
     dropped = 0
     for _ in range(int(duration_s * ROUNDS_PER_S)):
         dropped += sum(not transport.send(address, frame) for address in addresses)
--- a/packages/baobabring/baobabring/callers/_app.py
+++ b/packages/baobabring/baobabring/callers/_app.py
@@ -9,15 +9,18 @@
 
 from baobabring.callers._requests import (
     BODY_TIMEOUT_S,
-    CallerConnectionMiddleware,
     RejectedRequest,
     build_call,
-    has_body,
-    read_body,
 )
 from baobabring.callers._responses import CallResult, write_response
 from baobabring.calls import Router
 from baobabring.model import Call, NotRun, Reason
+from baobabring.serving import (
+    BodyTooLarge,
+    CallerConnectionMiddleware,
+    has_body,
+    read_body,
+)
 
 
 class CallHandler(ABC):
@@ -82,7 +85,7 @@
     async def _read_call(
         self, request: falcon.asgi.Request, call_id: str
     ) -> Call | RejectedRequest:
-        body: bytes | RejectedRequest | None = b""
+        body: bytes | BodyTooLarge | None = b""
         if has_body(request):
             try:
                 async with asyncio.timeout(BODY_TIMEOUT_S):
@@ -91,8 +94,9 @@
                 return RejectedRequest(Reason.BAD_REQUEST, "the body came too slowly")
         if body is None:
             return RejectedRequest(Reason.CALLER_LEFT, "the caller left")
-        if isinstance(body, RejectedRequest):
-            return body
+        if isinstance(body, BodyTooLarge):
+            problem = f"the body exceeds {body.limit_bytes} bytes"
+            return RejectedRequest(Reason.TOO_LARGE, problem)
         router = self.handler.get_router()
         call = build_call(request, body, router, call_id, self.handler.now_s())
         service_unknown = (
--- a/packages/baobabring/baobabring/callers/_requests.py
+++ b/packages/baobabring/baobabring/callers/_requests.py
@@ -7,6 +7,7 @@
 from baobabring.calls import Router
 from baobabring.model import Call, Reason
 from baobabring.retries import parse_retries_left
+from baobabring.serving import get_encoded_path
 
 KEY_HEADER = "Idempotency-Key"
 DEADLINE_HEADER = "Baobab-Deadline-Ms"
@@ -27,70 +28,6 @@
     problem: str
 
 
-class CallerConnection:
-    """Wrap a request's ASGI receive channel and record the caller's disconnect."""
-
-    def __init__(self, receive) -> None:
-        self._receive = receive
-        self.disconnected = False
-
-    async def receive(self):
-        """Return the next event."""
-        event = await self._receive()
-        if event["type"] == "http.disconnect":
-            self.disconnected = True
-        return event
-
-    async def wait_for_disconnect(self) -> None:
-        """Wait until the caller has disconnected."""
-        while not self.disconnected:
-            await self.receive()
-
-
-class CallerConnectionMiddleware:
-    """ASGI middleware that puts a `CallerConnection` into the scope."""
-
-    SCOPE_KEY = "baobabring.connection"
-
-    def __init__(self, app) -> None:
-        self.app = app
-
-    async def __call__(self, scope, receive, send) -> None:
-        """Serve one ASGI scope."""
-        if scope["type"] != "http":
-            await self.app(scope, receive, send)
-            return
-        connection = CallerConnection(receive)
-        scope[self.SCOPE_KEY] = connection
-        await self.app(scope, connection.receive, send)
-
-
-def has_body(request: falcon.asgi.Request) -> bool:
-    """Return whether the headers of a request declare a body."""
-    if request.content_length is None:
-        return request.get_header("Transfer-Encoding") is not None
-    return request.content_length > 0
-
-
-async def read_body(
-    request: falcon.asgi.Request, limit_bytes: int
-) -> bytes | RejectedRequest | None:
-    """Return the body, why it is rejected, or None if the caller disconnected."""
-    declared_bytes = request.content_length
-    if declared_bytes is not None and declared_bytes > limit_bytes:
-        return RejectedRequest(
-            Reason.TOO_LARGE, f"the body exceeds {limit_bytes} bytes"
-        )
-    body = await request.stream.read(limit_bytes + 1)
-    if request.scope[CallerConnectionMiddleware.SCOPE_KEY].disconnected:
-        return None
-    if len(body) > limit_bytes:
-        return RejectedRequest(
-            Reason.TOO_LARGE, f"the body exceeds {limit_bytes} bytes"
-        )
-    return body
-
-
 def build_call(
     request: falcon.asgi.Request,
     body: bytes,
@@ -142,13 +79,6 @@
     return tenant[:MAX_TENANT_CHARACTERS]
 
 
-def get_encoded_path(request: falcon.asgi.Request) -> str:
-    """Return the path and query as the caller sent them."""
-    path = request.scope["raw_path"].decode("ascii")
-    query = request.scope["query_string"].decode("ascii")
-    return f"{path}?{query}" if query else path
-
-
 def _decode_headers(request: falcon.asgi.Request) -> tuple[tuple[str, str], ...]:
     return tuple(
         (name.decode("latin-1"), value.decode("latin-1"))
--- a/packages/baobabring/baobabring/peers/__init__.py
+++ b/packages/baobabring/baobabring/peers/__init__.py
@@ -1,13 +1,7 @@
 """Messages between instances."""
 
-from baobabring.peers._frames import (
-    BadFrame,
-    PeerMessage,
-    StateReply,
-    StateRequest,
-    decode_message,
-    encode_message,
-)
+from baobabring.peers._codec import BadFrame, MessageCodec, MessageKind
+from baobabring.peers._messages import StateReply, StateRequest
 from baobabring.peers._transport import (
     CurveKeys,
     PeerTransport,
@@ -18,12 +12,11 @@
 __all__ = [
     "BadFrame",
     "CurveKeys",
-    "PeerMessage",
+    "MessageCodec",
+    "MessageKind",
     "PeerTransport",
     "StateReply",
     "StateRequest",
     "create_peer_transport",
-    "decode_message",
-    "encode_message",
     "read_curve_keys",
 ]
--- a/packages/baobabring/baobabring/peers/_transport.py
+++ b/packages/baobabring/baobabring/peers/_transport.py
@@ -9,7 +9,7 @@
 import zmq
 import zmq.auth.asyncio
 
-from baobabring.peers._frames import MAX_MESSAGE_BYTES
+from baobabring.peers._codec import MAX_MESSAGE_BYTES
 
 MAX_QUEUED_SENT_MESSAGES = 128
 MAX_QUEUED_RECEIVED_MESSAGES = 4_096
--- a/packages/baobabring/baobabring/program/_instance.py
+++ b/packages/baobabring/baobabring/program/_instance.py
@@ -10,13 +10,14 @@
 import uvicorn
 import zmq
 
-from baobabring.callers import create_app, create_server_config
+from baobabring.callers import create_app
 from baobabring.calls import get_longest_deadline_ms
 from baobabring.model import Configuration, TargetState, ZoneState
 from baobabring.operators import create_operators_server, read_certificates
 from baobabring.program._control_plane import InstanceControlPlane
 from baobabring.program._metrics import REVISION
 from baobabring.program._parts import Parts, create_parts
+from baobabring.serving import create_server_config
 from baobabring.settings import Settings
 
 LOG = logbook.Logger("node")
--- a/packages/baobabring/baobabring/program/_metrics.py
+++ b/packages/baobabring/baobabring/program/_metrics.py
@@ -3,23 +3,8 @@
 from prometheus_client import Counter, Gauge, Histogram
 
 from baobabring.platform import AppendOutcome
+from baobabring.program._shared_metrics import LATENCY_BUCKETS_S
 
-LATENCY_BUCKETS_S = (
-    0.001,
-    0.002,
-    0.004,
-    0.008,
-    0.016,
-    0.032,
-    0.064,
-    0.128,
-    0.256,
-    0.512,
-    1.024,
-    2.048,
-    4.096,
-    8.192,
-)
 MAX_TENANT_LABELS = 100
 OTHER_TENANTS_LABEL = "other"
 
@@ -46,14 +31,6 @@
     ("service", "outcome"),
 )
 PROBES = Counter("baobabring_probes_total", "Probes sent to targets.")
-PEER_MESSAGES = Counter(
-    "baobabring_peer_messages_total",
-    "Messages between instances.",
-    ("direction", "kind"),
-)
-PEER_BYTES = Counter(
-    "baobabring_peer_bytes_total", "Bytes between instances.", ("direction", "kind")
-)
 LOG_APPENDS = Counter(
     "baobabring_log_appends_total",
     "Appends to the platform's log by outcome.",
--- a/packages/baobabring/baobabring/program/_parts.py
+++ b/packages/baobabring/baobabring/program/_parts.py
@@ -28,6 +28,7 @@
 from baobabring.program._dispatcher import Dispatcher
 from baobabring.program._membership_task import MembershipTask
 from baobabring.program._peer_link import PeerLink
+from baobabring.program._peer_messages import INSTANCE_MESSAGES
 from baobabring.program._probe_task import ProbeTask
 from baobabring.program._sharing_task import SharingTask
 from baobabring.program._state_exchange import StateExchange
@@ -117,7 +118,8 @@
 def _create_link(settings: Settings) -> PeerLink:
     key_file = settings.peers.key_file
     keys = None if key_file is None else read_curve_keys(key_file)
-    return PeerLink(create_peer_transport(settings.peers.address, keys))
+    transport = create_peer_transport(settings.peers.address, keys)
+    return PeerLink(transport, INSTANCE_MESSAGES)
 
 
 def _create_engine(
--- a/packages/baobabring/baobabring/program/_peer_link.py
+++ b/packages/baobabring/baobabring/program/_peer_link.py
@@ -4,19 +4,14 @@
 from dataclasses import dataclass
 
 import logbook
+import msgspec
 
-from baobabring.peers import (
-    BadFrame,
-    PeerMessage,
-    PeerTransport,
-    decode_message,
-    encode_message,
-)
-from baobabring.program._metrics import PEER_BYTES, PEER_MESSAGES
+from baobabring.peers import BadFrame, MessageCodec, PeerTransport
+from baobabring.program._shared_metrics import PEER_BYTES, PEER_MESSAGES
 
 LOG = logbook.Logger("peers")
 
-MessageHandler = Callable[[PeerMessage], None]
+MessageHandler = Callable[[msgspec.Struct], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,8 +25,9 @@
 class PeerLink:
     """Send messages to peers and pass received ones to subscribers."""
 
-    def __init__(self, transport: PeerTransport) -> None:
+    def __init__(self, transport: PeerTransport, codec: MessageCodec) -> None:
         self.transport = transport
+        self.codec = codec
         self._addresses: frozenset[str] = frozenset()
         self._handlers: dict[type, MessageHandler] = {}
         self._counters: dict[tuple[str, str], _Counters] = {}
@@ -49,15 +45,15 @@
         self._addresses = addresses
         self.transport.disconnect_except(addresses)
 
-    def broadcast(self, message: PeerMessage) -> None:
+    def broadcast(self, message: msgspec.Struct) -> None:
         """Send a message to every peer."""
-        frame = encode_message(message)
+        frame = self.codec.encode(message)
         for address in self._addresses:
             self._send(address, frame, type(message).__name__)
 
-    def send(self, address: str, message: PeerMessage) -> None:
+    def send(self, address: str, message: msgspec.Struct) -> None:
         """Send a message to one peer."""
-        self._send(address, encode_message(message), type(message).__name__)
+        self._send(address, self.codec.encode(message), type(message).__name__)
 
     def reconnect(self, address: str) -> None:
         """Open a new connection to a peer at the next send."""
@@ -68,7 +64,7 @@
         self._count("sent" if sent else "dropped", kind, len(frame))
 
     def _on_frame(self, frame: bytes) -> None:
-        message = decode_message(frame)
+        message = self.codec.decode(frame)
         self._count("received", type(message).__name__, len(frame))
         if isinstance(message, BadFrame):
             LOG.debug("received invalid frame", problem=message.problem)
--- a/packages/baobabring/baobabring/program/entry/_app.py
+++ b/packages/baobabring/baobabring/program/entry/_app.py
@@ -7,13 +7,6 @@
 import falcon.asgi
 import prometheus_client
 
-from baobabring.callers import (
-    CallerConnectionMiddleware,
-    RejectedRequest,
-    get_encoded_path,
-    has_body,
-    read_body,
-)
 from baobabring.entry import (
     BodyEndedError,
     BodyStream,
@@ -27,6 +20,13 @@
 from baobabring.platform.wire import parse_caller_headers
 from baobabring.program.entry._call_runner import CallerRequest, CallRunner
 from baobabring.program.entry._caller_body import CallerBody, CutBodyMiddleware
+from baobabring.serving import (
+    BodyTooLarge,
+    CallerConnectionMiddleware,
+    get_encoded_path,
+    has_body,
+    read_body,
+)
 
 REJECTION_STATUSES = {
     CallProblem.NO_ROUTE: HTTPStatus.NOT_FOUND,
@@ -50,13 +50,13 @@
     ) -> None:
         """Serve one request."""
         arrived_at_s = self.call_runner.clock.now_s()
-        body: bytes | RejectedRequest | None = b""
+        body: bytes | BodyTooLarge | None = b""
         if has_body(request):
             body = await read_body(request, self.call_runner.body_limit_bytes)
         if body is None:
             # The caller disconnected while it sent the body.
             return
-        if isinstance(body, RejectedRequest):
+        if isinstance(body, BodyTooLarge):
             write_outcome(response, Rejected(CallProblem.TOO_LARGE), arrived_at_s)
             return
         outcome = await self._serve(request, body, arrived_at_s)
--- a/packages/baobabring/baobabring/program/entry/_caller_body.py
+++ b/packages/baobabring/baobabring/program/entry/_caller_body.py
@@ -4,8 +4,8 @@
 
 import logbook
 
-from baobabring.callers import CallerConnection
 from baobabring.entry import BodyEnd, BodyEndedError, BodyStream
+from baobabring.serving import CallerConnection
 
 LOG = logbook.Logger("body")
 
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -37,6 +37,7 @@
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._forwarder import Forwarder
 from baobabring.program.entry._metrics import BODY_BYTES, TARGETS, VIEW_AGE
+from baobabring.program.entry._peer_messages import ENTRY_MESSAGES
 from baobabring.program.entry._peer_task import PeerTask
 from baobabring.program.entry._server import HttpServer
 from baobabring.program.entry._settings_task import SettingsTask
@@ -68,7 +69,9 @@
         self.settings = settings
         self.settings_task = SettingsTask(path, settings, self._apply_settings)
         self.clock = BoottimeClock()
-        self.link = PeerLink(create_peer_transport(settings.peer_address, None))
+        self.link = PeerLink(
+            create_peer_transport(settings.peer_address, None), ENTRY_MESSAGES
+        )
         now_s = self.clock.now_s()
         self.shared_view = SharedView(settings.instance_id, settings.peer_address)
         self.schedule = ReadSchedule(settings.instance_id, now_s)
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -2,7 +2,7 @@
 
 from prometheus_client import Counter, Gauge, Histogram
 
-from baobabring.program._metrics import LATENCY_BUCKETS_S
+from baobabring.program._shared_metrics import LATENCY_BUCKETS_S
 
 ENTRY_CALLS = Counter(
     "baobabring_entry_calls_total", "Calls by outcome.", ("route", "outcome")
--- a/packages/baobabring/baobabring/program/entry/_server.py
+++ b/packages/baobabring/baobabring/program/entry/_server.py
@@ -7,8 +7,8 @@
 
 from uvicorn.server import ServerState
 
-from baobabring.callers import create_server_config
 from baobabring.program.entry._caller_protocol import CallerProtocol, HeaderLimits
+from baobabring.serving import create_server_config
 
 BACKLOG_CONNECTIONS = 512
 INITIAL_KEEP_ALIVE_S = 20
