Shorten the time until restarted instances serve

From start to ready took 0.1 to 0.27 s, mostly waiting for the turn to read the store.

Change: the first turn comes after 30 ms instead of 80, the others 20 ms apart instead of 60, up to 60 turns, so that hundreds without a view still don't read together. Garbage collection is off during imports.

--- a/packages/baobabring/baobabring/entry/_read_schedule.py
+++ b/packages/baobabring/baobabring/entry/_read_schedule.py
@@ -6,10 +6,10 @@
 
 READ_INTERVAL_S = 0.7
 # Delay between successive instances for the first read when all start at once.
-FIRST_READ_STAGGER_S = 0.06
+FIRST_READ_STAGGER_S = 0.02
 # A running reader sends its view to a joining instance within this time.
-FIRST_VIEW_WAIT_S = 0.08
-MAX_FIRST_READ_STEPS = 20
+FIRST_VIEW_WAIT_S = 0.03
+MAX_FIRST_READ_STEPS = 60
 # Instances of a new fleet get this time to discover each other before the first read.
 NEW_FLEET_READ_DELAY_S = 0.4
 # A reader that is silent for this long is considered failed: other instances try to
--- a/packages/baobabring/baobabring/program/entry/__main__.py
+++ b/packages/baobabring/baobabring/program/entry/__main__.py
@@ -1,5 +1,14 @@
 """Entry point of `python -m baobabring.program.entry`."""
 
-from baobabring.program.entry._main import run
+import gc
+import importlib
 
-run()
+
+def _run() -> None:
+    # Imported modules stay, so searching them for garbage only delays the start.
+    gc.disable()
+    importlib.import_module("baobabring.program.entry._main").run()
+
+
+if __name__ == "__main__":
+    _run()
--- a/packages/baobabring/baobabring/program/entry/_main.py
+++ b/packages/baobabring/baobabring/program/entry/_main.py
@@ -56,6 +56,7 @@
     # Exempts the objects created so far, which live as long as the process, from
     # garbage collection.
     gc.freeze()
+    gc.enable()
     await instance.run()
 
 
