Let retries of a window be used when needed, and refused callers return soon

Each instance could save up 1.9 retries only, hedges spent the same ones, and refused callers were told to come back after half of their goal although targets had free slots.

Change: retries are counted over the window that the fleet's limit is stated for, so that an instance may use the whole share of a calm window when a disruption starts; hedges leave two fifths of it to calls that failed or were refused. A caller whose call was refused by a target with a free slot may return after some 40 ms.

Ruled out: a larger burst of the token bucket, which the window's limit doesn't allow.

The test of a download waits for the log line, which is written after the last byte has gone.

--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -46,6 +46,7 @@
 )
 from baobabring.entry._probe_rate_budget import ProbeRateBudget
 from baobabring.entry._read_schedule import ReadSchedule, reader_sort_key
+from baobabring.entry._retry_budget import FleetRetryBudget
 from baobabring.entry._routes import RouteTable, WeightedRoundRobin
 from baobabring.entry._settings import EntrySettings, FleetLimits
 from baobabring.entry._shared_view import FleetStatus, SharedView
@@ -87,6 +88,7 @@
     "EntryTarget",
     "FleetEvent",
     "FleetLimits",
+    "FleetRetryBudget",
     "FleetStatus",
     "FleetView",
     "HealthReport",
--- a/packages/baobabring/baobabring/entry/_admission.py
+++ b/packages/baobabring/baobabring/entry/_admission.py
@@ -12,6 +12,8 @@
 MAX_WAIT_SHARE_OF_GOAL = 0.125
 PROBE_RETRY_DELAY_S = 0.012
 MIN_RETRY_AFTER_S = 0.03
+# Retry time while targets have free slots, so that the goal can still be met.
+RETRY_SOON_MS = 40.0
 # Callers wait at most this share of their remaining time before a retry.
 MAX_RETRY_SHARE_OF_TIME_LEFT = 0.3
 # Factor on the expected duration, since work often takes longer than expected. A call
@@ -91,6 +93,19 @@
         after_s = max(after_s, MIN_RETRY_AFTER_S)
         return RefuseCall(now_s + after_s, reason)
 
+    def refuse_after_target(
+        self, call: EntryCall, offer: Offer, now_s: float
+    ) -> RefuseCall:
+        """Return the refusal of a call that a target refused to run.
+
+        If the target had a free slot, others are not full, and the caller may retry
+        soon.
+        """
+        after_ms = call.route.latency_goal_ms / 2
+        if offer.has_free_slot:
+            after_ms = min(after_ms, RETRY_SOON_MS)
+        return self.refuse(call, after_ms, "targets-refused", now_s)
+
     def _can_meet_deadline(self, offer: Offer, call: EntryCall, now_s: float) -> bool:
         return now_s + DEADLINE_MARGIN * offer.finish_ms / 1_000 <= call.deadline_s
 
--- a/packages/baobabring/baobabring/entry/tests/test_admission.py
+++ b/packages/baobabring/baobabring/entry/tests/test_admission.py
@@ -77,6 +77,18 @@
     assert max(times) > 0.4
 
 
+def test_caller_may_return_soon_after_a_target_with_a_free_slot_refused(admission):
+    # Targets that refuse a part of their calls without being full.
+    call = build_call()
+    refusals = [
+        admission.refuse_after_target(call, build_offer(), 0.0) for _ in range(100)
+    ]
+    assert max(refusal.retry_at_s for refusal in refusals) <= 0.1
+    full_offer = build_offer(has_free_slot=False)
+    later = [admission.refuse_after_target(call, full_offer, 0.0) for _ in range(100)]
+    assert max(refusal.retry_at_s for refusal in later) > 0.3
+
+
 def test_retry_time_leaves_time_to_run_the_call(admission):
     call = build_call(wait_s=0.6)
     times = [
--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -10,7 +10,9 @@
     CallProblem,
     Delivered,
     EntryOutcome,
+    FleetRetryBudget,
     NotRun,
+    Offer,
     RefuseCall,
     Undetermined,
     hedge_at_s,
@@ -19,7 +21,6 @@
 from baobabring.program.entry._progress import CallProgress
 from baobabring.program.entry._target_chooser import MIN_TIME_LEFT_S, TargetChooser
 from baobabring.program.entry._wait_queue import Assignment
-from baobabring.retries import RetryBudget
 from baobabring.utils import Clock
 
 MAX_HEDGE_CHECKS = 3
@@ -33,7 +34,7 @@
         chooser: TargetChooser,
         attempts: AttemptRunner,
         admission: Admission,
-        retry_budget: RetryBudget,
+        retry_budget: FleetRetryBudget,
         clock: Clock,
     ) -> None:
         self.chooser = chooser
@@ -54,7 +55,7 @@
                     call.service_id, self.clock.now_s()
                 )
             end = await self._attempt_with_hedge(progress, assignment)
-            outcome = self._outcome_after(progress, end)
+            outcome = self._outcome_after(progress, assignment.offer, end)
             if outcome is not None:
                 return outcome
 
@@ -99,7 +100,7 @@
             second = await self.chooser.choose_hedge(progress)
             if second is None:
                 continue
-            if self._try_spend_retry(progress):
+            if self._try_spend_hedge(progress):
                 return second
             self.chooser.prober.release(second.probe_response)
         return None
@@ -121,7 +122,7 @@
     # Outcomes
 
     def _outcome_after(
-        self, progress: CallProgress, end: AttemptEnd
+        self, progress: CallProgress, offer: Offer, end: AttemptEnd
     ) -> EntryOutcome | None:
         """Return the outcome after an attempt's end, None to try again."""
         call = progress.call
@@ -138,23 +139,23 @@
             return self._last_outcome(progress, end.problem)
         if self._try_spend_retry(progress):
             return None
-        refusal = self.admission.refuse(
-            call,
-            call.route.latency_goal_ms / 2,
-            CallProblem.TARGETS_REFUSED,
-            self.clock.now_s(),
-        )
+        refusal = self.admission.refuse_after_target(call, offer, self.clock.now_s())
         return self._refused_outcome(progress, refusal)
 
     def _try_spend_retry(self, progress: CallProgress) -> bool:
         """Return whether another attempt is allowed, and spend a retry if so."""
         call = progress.call
         now_s = self.clock.now_s()
-        if len(progress.tried_targets) >= call.route.attempt_limit:
+        if not _may_attempt_again(progress, now_s):
             return False
-        if now_s + MIN_TIME_LEFT_S >= call.deadline_s:
+        return self.retry_budget.try_spend_retry(call.service_id, now_s)
+
+    def _try_spend_hedge(self, progress: CallProgress) -> bool:
+        """Return whether a hedged attempt is allowed, and count it if so."""
+        now_s = self.clock.now_s()
+        if not _may_attempt_again(progress, now_s):
             return False
-        return self.retry_budget.try_spend_retry(call.service_id, 1, now_s)
+        return self.retry_budget.try_spend_hedge(progress.call.service_id, now_s)
 
     def _refused_outcome(
         self, progress: CallProgress, refusal: RefuseCall
@@ -172,6 +173,13 @@
         return Undetermined(problem)
 
 
+def _may_attempt_again(progress: CallProgress, now_s: float) -> bool:
+    call = progress.call
+    if len(progress.tried_targets) >= call.route.attempt_limit:
+        return False
+    return now_s + MIN_TIME_LEFT_S < call.deadline_s
+
+
 def _abandon_unused_stream(attempt: asyncio.Task, used: AttemptEnd | None) -> None:
     """Abandon the stream of an attempt's response unless that is the one used."""
     if not attempt.done() or attempt.cancelled() or attempt.exception():
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -14,7 +14,7 @@
     CallerLimits,
     ColdStartLimiter,
     EntrySettings,
-    FleetLimits,
+    FleetRetryBudget,
     ProbeRateBudget,
     RankerSettings,
     ReadSchedule,
@@ -43,7 +43,6 @@
 from baobabring.program.entry._settings_task import SettingsTask
 from baobabring.program.entry._target_chooser import TargetChooser
 from baobabring.program.entry._view_task import ViewTask
-from baobabring.retries import RetryBudget, RetrySettings
 from baobabring.utils import BoottimeClock
 
 LOG = logbook.Logger("instance")
@@ -56,10 +55,6 @@
 SHUTDOWN_POLL_S = 0.05
 IDLE_TIMEOUT_MARGIN_S = 3.0
 MS_PER_S = 1_000
-# A full burst and the refill during one window together make up the retry slack.
-RETRY_BURST_SHARE = 0.6
-RETRY_REFILL_SHARE = 0.4
-RETRY_PLANNED_SHARE = 0.85
 
 
 class EntryInstance:
@@ -109,7 +104,7 @@
             self.cold_start_limiter,
             rng,
         )
-        self.retry_budget = RetryBudget(retry_settings(settings.limits, 1))
+        self.retry_budget = FleetRetryBudget(settings.limits)
         self.pool = ConnectionPool()
         admission = Admission(rng)
         body_memory = BodyMemory(settings.body_memory_bytes)
@@ -207,7 +202,8 @@
         # Peers that are only unreachable still use their shares of the fleet's limits.
         known = self.peer_task.known_ids()
         self.cold_start_limiter.set_instances(known)
-        self.retry_budget.settings = retry_settings(self.settings.limits, len(known))
+        self.retry_budget.limits = self.settings.limits
+        self.retry_budget.instance_count = len(known)
 
     def _update_readiness(self) -> None:
         ready = self.shared_view.is_complete and not self._shutdown_requested.is_set()
@@ -243,15 +239,3 @@
             self.caller_server.close_idle()
             await asyncio.sleep(SHUTDOWN_POLL_S)
         LOG.info("drain ended", calls=self.call_runner.in_progress)
-
-
-def retry_settings(limits: FleetLimits, instance_count: int) -> RetrySettings:
-    """Return one instance's share of the retries that the fleet may send."""
-    slack = limits.retry_slack * RETRY_PLANNED_SHARE / instance_count
-    return RetrySettings(
-        retry_share=limits.retry_share * RETRY_PLANNED_SHARE,
-        min_retries_per_s=slack
-        * RETRY_REFILL_SHARE
-        / (limits.retry_window_ms / MS_PER_S),
-        burst=max(1.0, slack * RETRY_BURST_SHARE),
-    )
--- a/packages/baobabring/baobabring/program/entry/tests/test_imports.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_imports.py
@@ -16,6 +16,7 @@
     "operators",
     "probing",
     "publication",
+    "retries",
     "settings",
     "targets",
 )
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_downloads.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_downloads.py
@@ -16,6 +16,7 @@
 
 DOWNLOAD_BYTES = 20 * DOWNLOAD_PART_BYTES
 LONG_DOWNLOAD_BYTES = 900_000
+LOG_TIMEOUT_S = 2.0
 RULES = [
     {**build_rule("reports", "reports", timeout_ms=3_000), "route-type": "download"},
     build_rule("status", "status"),
@@ -62,11 +63,14 @@
     return sum(run.call_id == call_id for t in fleet.targets for run in t.runs)
 
 
-def get_log_line(fleet, event, call_id):
-    """Return the log line of an event of a call."""
-    lines = fleet.instances[0].read_log_lines(event)
-    (line,) = [line for line in lines if line["call"] == call_id]
-    return line
+async def wait_for_body_end(fleet, call_id):
+    """Return the log line of the end of a call's body, once it is written."""
+    async with asyncio.timeout(LOG_TIMEOUT_S):
+        while True:
+            for line in fleet.instances[0].read_log_lines("body ended"):
+                if line["call"] == call_id:
+                    return line
+            await asyncio.sleep(0.02)
 
 
 async def test_download_begins_before_its_target_has_sent_it_all(fleet):
@@ -82,7 +86,7 @@
     assert first_byte_s < 0.5 < time.monotonic() - started_s
     assert len(body) == DOWNLOAD_BYTES - 1
     assert response.headers["Content-Length"] == str(DOWNLOAD_BYTES)
-    line = get_log_line(fleet, "body ended", "c")
+    line = await wait_for_body_end(fleet, "c")
     assert (line["end"], line["read_bytes"]) == ("complete", DOWNLOAD_BYTES)
 
 
@@ -109,7 +113,7 @@
         with pytest.raises(aiohttp.ClientPayloadError):
             await response.read()
     assert count_runs(fleet, "c") == 1
-    assert get_log_line(fleet, "body ended", "c")["end"] == "cut-short"
+    assert (await wait_for_body_end(fleet, "c"))["end"] == "cut-short"
 
 
 async def test_caller_who_leaves_during_a_download_stops_it(fleet):
@@ -124,7 +128,7 @@
     sent_parts = sum(target.sent_parts for target in fleet.targets)
     await asyncio.sleep(0.3)
     assert sum(target.sent_parts for target in fleet.targets) == sent_parts
-    assert get_log_line(fleet, "body ended", "c")["end"] == "caller-left"
+    assert (await wait_for_body_end(fleet, "c"))["end"] == "caller-left"
 
 
 async def test_download_ends_at_the_deadline_of_its_caller(fleet):
@@ -137,7 +141,7 @@
         with pytest.raises(aiohttp.ClientPayloadError):
             await response.read()
     assert time.monotonic() - started_s < 1.2
-    assert get_log_line(fleet, "body ended", "c")["end"] == "timeout"
+    assert (await wait_for_body_end(fleet, "c"))["end"] == "timeout"
 
 
 async def test_slow_caller_keeps_neither_the_target_nor_an_urgent_call_waiting(fleet):
