--- a/packages/baobabring/baobabring/program/entry/_call_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_call_runner.py
@@ -32,6 +32,7 @@
 # The response must reach the caller before its deadline or the route's timeout.
 RESPONSE_MARGIN_S = 0.01
 DEFAULT_RETRY_DELAY_S = 0.3
+MAX_LOGGED_OFFERS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,8 +188,14 @@
             probes=progress.probes,
             waited=progress.waited,
             offers=[
-                (o.target_id, o.has_free_slot, round(o.finish_ms), round(o.cost_ms))
-                for o in progress.offers[:3]
+                (
+                    offer.target_id,
+                    offer.has_free_slot,
+                    round(offer.finish_ms),
+                    round(offer.cost_ms),
+                    round(offer.slowdown, 1),
+                )
+                for offer in progress.offers[:MAX_LOGGED_OFFERS]
             ],
             time_left_ms=round((call.deadline_s - now_s) * MS_PER_S),
             configuration=self._configuration.version,
