Tell targets that stay slow from those that are slow for a moment

They were the first of four to answer, after 12 ms without any; the others were not awaited.

Change: how long speeds last is estimated for each service from the calls themselves, from the time that they ran at the reported speed and the changes seen. A target that would miss the goal is used only once no others can be probed; one whose slowness alone misses the deadline doesn't end the wait. If none of the first answers suffices, the others are awaited for up to 30 ms.

--- a/packages/baobabring/baobabring/entry/_admission.py
+++ b/packages/baobabring/baobabring/entry/_admission.py
@@ -70,16 +70,24 @@
         free = next((offer for offer in offers if offer.has_free_slot), None)
         best = min(offers, key=lambda offer: offer.finish_ms, default=None)
         if free is not None and self._can_meet_deadline(free, call, now_s):
-            return SendCall(_cheapest_of(offers, free).target_id, free.finish_ms)
+            chosen = _cheapest_of(offers, free)
+            in_time = self._finishes_by(chosen, call.goal_at_s, now_s)
+            if in_time or not can_probe_others:
+                return SendCall(chosen.target_id, chosen.finish_ms)
         if can_probe_others:
             return ProbeAgain(now_s)
         if best is not None:
             if self._finishes_by(best, self._queue_until_s(call), now_s):
                 return SendCall(best.target_id, best.finish_ms)
-            if not self._can_meet_deadline(best, call, now_s):
+            others_may_serve = free is not None and self._could_meet_deadline(
+                free, call, now_s
+            )
+            if not others_may_serve and not self._can_meet_deadline(best, call, now_s):
                 return self.refuse(call, best.finish_ms / 2, "too-late", now_s)
         if now_s < self._wait_until_s(call):
             return ProbeAgain(now_s + PROBE_RETRY_DELAY_S * self.rng.uniform(0.7, 1.3))
+        if free is not None:
+            return self.refuse(call, RETRY_SOON_MS, "too-late", now_s)
         finish_ms = best.finish_ms if best is not None else call.route.latency_goal_ms
         return self.refuse(call, finish_ms / 2, "overload", now_s)
 
@@ -109,6 +117,11 @@
     def _can_meet_deadline(self, offer: Offer, call: EntryCall, now_s: float) -> bool:
         return now_s + DEADLINE_MARGIN * offer.finish_ms / 1_000 <= call.deadline_s
 
+    def _could_meet_deadline(self, offer: Offer, call: EntryCall, now_s: float) -> bool:
+        """Return whether a target of normal speed would meet the deadline."""
+        finish_ms = offer.finish_ms / max(offer.slowdown, 1.0)
+        return now_s + DEADLINE_MARGIN * finish_ms / 1_000 <= call.deadline_s
+
     def _finishes_by(self, offer: Offer, until_s: float, now_s: float) -> bool:
         return now_s + offer.finish_ms / 1_000 <= until_s
 
--- a/packages/baobabring/baobabring/entry/_estimates.py
+++ b/packages/baobabring/baobabring/entry/_estimates.py
@@ -12,8 +12,34 @@
 INITIAL_SATURATION_SLOWDOWN = 1.15
 SATURATION_GAIN = 0.05
 SATURATION_SLOWDOWN_RANGE = (1.0, 3.0)
-# The speed of a target stays constant for about this long.
-SPEED_LIFETIME_MS = 150.0
+# Initial estimate of how long the speed of a target stays constant, and the number of
+# observed changes of speed that it counts for.
+INITIAL_SPEED_LIFETIME_MS = 150.0
+INITIAL_SPEED_CHANGES = 3.0
+# Weight that older observations keep with each new one.
+SPEED_RETENTION = 0.995
+# Calls at targets of nearly the mean speed do not show how long speeds last.
+MIN_SLOWDOWN_DIFFERENCE = 0.5
+# A call that ran at the reported speed for a smaller share of its work saw a change.
+MIN_CONSTANT_SHARE = 0.8
+
+
+class _SpeedLifetime:
+    """Estimate how long speeds last from the time observed between changes."""
+
+    def __init__(self) -> None:
+        self._observed_ms = INITIAL_SPEED_LIFETIME_MS * INITIAL_SPEED_CHANGES
+        self._changes = INITIAL_SPEED_CHANGES
+
+    def add(self, constant_ms: float, changed: bool) -> None:
+        """Add a time at constant speed and whether a change ended it."""
+        self._observed_ms = self._observed_ms * SPEED_RETENTION + constant_ms
+        self._changes = self._changes * SPEED_RETENTION + changed
+
+    @property
+    def mean_ms(self) -> float:
+        """Return the mean time between changes."""
+        return self._observed_ms / self._changes
 
 
 class WorkEstimates:
@@ -24,6 +50,7 @@
         self._services: dict[str, MovingAverage] = {}
         self._transfers: dict[str, MovingAverage] = {}
         self._slowdowns: dict[str, MovingAverage] = {}
+        self._speed_lifetimes: dict[str, _SpeedLifetime] = {}
         self._saturation_slowdowns: dict[str, MovingAverage] = {}
 
     def work_ms(self, route: EntryRoute) -> float:
@@ -63,12 +90,48 @@
 
     def expected_slowdown(self, call: EntryCall, reported: float) -> float:
         """Return the expected mean slowdown during a call, given the reported one."""
-        average = self._slowdowns.get(call.service_id)
-        mean = average.value if average is not None else INITIAL_SLOWDOWN
-        work_ms = self.work_ms(call.route) * reported
-        weight = min(1.0, SPEED_LIFETIME_MS / max(work_ms, 1.0))
+        weight = self._reported_weight(call, reported)
+        mean = self._mean_slowdown(call.service_id)
         return weight * reported + (1.0 - weight) * mean
 
+    def speed_lifetime_ms(self, service_id: str) -> float:
+        """Return how long the speed of a service's targets stays constant."""
+        lifetime = self._speed_lifetimes.get(service_id)
+        return lifetime.mean_ms if lifetime is not None else INITIAL_SPEED_LIFETIME_MS
+
+    def record_speed(
+        self, call: EntryCall, took_ms: float, reported: float, finished: bool = True
+    ) -> None:
+        """Update the lifetime of speeds by the duration of a call that had a slot.
+
+        `reported` is the slowdown that the target reported before the call. A call
+        that was not finished would have taken longer than `took_ms`.
+        """
+        mean = self._mean_slowdown(call.service_id)
+        if abs(reported - mean) < MIN_SLOWDOWN_DIFFERENCE:
+            return
+        work_ms = max(self.work_ms(call.route), 1.0)
+        share = (took_ms / work_ms - mean) / (reported - mean)
+        share = min(max(share, 0.0), 1.0)
+        changed = share < MIN_CONSTANT_SHARE
+        if not finished:
+            is_slow = reported > mean
+            if not is_slow and not changed:
+                return
+            changed = not is_slow
+        lifetime = self._speed_lifetimes.setdefault(call.service_id, _SpeedLifetime())
+        lifetime.add(share * work_ms * reported, changed)
+
+    def _reported_weight(self, call: EntryCall, reported: float) -> float:
+        """Return the share of a call's work that runs at the reported speed."""
+        work_ms = self.work_ms(call.route) * reported
+        lifetime_ms = self.speed_lifetime_ms(call.service_id)
+        return min(1.0, lifetime_ms / max(work_ms, 1.0))
+
+    def _mean_slowdown(self, service_id: str) -> float:
+        average = self._slowdowns.get(service_id)
+        return average.value if average is not None else INITIAL_SLOWDOWN
+
     def record_slowdown(self, service_id: str, slowdown: float) -> None:
         """Update the mean slowdown of a service with one that a target reported."""
         average = self._slowdowns.get(service_id)
--- a/packages/baobabring/baobabring/entry/_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/_target_ranker.py
@@ -43,7 +43,8 @@
 
     `finish_ms` is the expected time until the response. `cost_ms` adds the risk of a
     failure and the delay of other calls to it. `saturated` is set if the call would
-    take the target's last slot or wait for one.
+    take the target's last slot or wait for one. `slowdown` is the one expected during
+    the call, `reported_slowdown` the one when the target was probed.
     """
 
     target_id: str
@@ -51,6 +52,7 @@
     finish_ms: float
     cost_ms: float
     slowdown: float = 1.0
+    reported_slowdown: float = 1.0
     saturated: bool = False
 
 
@@ -156,6 +158,7 @@
             finish_ms=finish_ms,
             cost_ms=cost_ms,
             slowdown=slowdown,
+            reported_slowdown=load.slowdown,
             saturated=saturated,
         )
 
--- a/packages/baobabring/baobabring/entry/tests/test_admission.py
+++ b/packages/baobabring/baobabring/entry/tests/test_admission.py
@@ -34,6 +34,23 @@
     assert decision.target_id == "fast"
 
 
+def test_slow_target_is_used_only_if_no_others_can_be_probed(admission):
+    # A target whose machine is slow just now has a free slot and responds first.
+    offers = [build_offer(finish_ms=900.0)]
+    assert isinstance(admission.decide(build_call(), offers, True, 0.0), ProbeAgain)
+    assert isinstance(admission.decide(build_call(), offers, False, 0.0), SendCall)
+
+
+def test_call_waits_for_faster_targets_than_a_slow_one_that_misses_the_deadline(
+    admission,
+):
+    offers = [Offer("t-1", True, 1_600.0, 1_600.0, slowdown=7.0)]
+    assert isinstance(admission.decide(build_call(), offers, False, 0.0), ProbeAgain)
+    refusal = admission.decide(build_call(), offers, False, 0.2)
+    assert isinstance(refusal, RefuseCall)
+    assert refusal.retry_at_s <= 0.3
+
+
 def test_call_does_not_queue_while_other_targets_can_be_probed(admission):
     offers = [build_offer(has_free_slot=False)]
     assert isinstance(admission.decide(build_call(), offers, True, 0.0), ProbeAgain)
--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -72,16 +72,18 @@
         If the response has a stream, the rest of the body is still being received.
         """
         call, target = progress.call, assignment.record.target
-        now_s = self.clock.now_s()
-        time_left_ms = (call.deadline_s - now_s) * MS_PER_S
+        sent_at_s = self.clock.now_s()
+        time_left_ms = (call.deadline_s - sent_at_s) * MS_PER_S
         request = build_target_request(call, target, time_left_ms)
         progress.tried_targets.append(target.target_id)
         progress.sent = True
-        self.ranker.record_call_sent(target.target_id, now_s)
+        self.ranker.record_call_sent(target.target_id, sent_at_s)
         end: AttemptEnd = AttemptLost(CallProblem.CALLER_LEFT)
         try:
             end = await self._exchange(progress, assignment, request)
         finally:
+            if isinstance(end, AttemptLost):
+                self._record_unfinished(call, assignment.offer, sent_at_s)
             if not _has_stream(end):
                 self._release(assignment)
         ENTRY_ATTEMPTS.labels(call.service_id, type(end).__name__).inc()
@@ -144,9 +146,20 @@
         if offer.has_free_slot:
             work_ms = (took_s - response.body_took_s) * MS_PER_S
             estimates.record_work(call, work_ms, offer.slowdown, offer.saturated)
+            if not offer.saturated:
+                estimates.record_speed(call, work_ms, offer.reported_slowdown)
         if response.stream is None:
             estimates.record_transfer(call.route, response.body_took_s * MS_PER_S)
 
+    def _record_unfinished(
+        self, call: EntryCall, offer: Offer, sent_at_s: float
+    ) -> None:
+        if offer.has_free_slot and not offer.saturated:
+            took_ms = (self.clock.now_s() - sent_at_s) * MS_PER_S
+            self.ranker.estimates.record_speed(
+                call, took_ms, offer.reported_slowdown, finished=False
+            )
+
     def _record_end(
         self, progress: CallProgress, assignment: Assignment, end: AttemptEnd
     ) -> None:
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -1,7 +1,7 @@
 """Health probes of targets, whose responses also report the load."""
 
 import asyncio
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 from baobabring.connections import (
@@ -21,9 +21,10 @@
 from baobabring.utils import Clock
 
 # Targets in the same availability zone respond within 1 ms, or within the time that
-# they need to process a probe. Slower ones are awaited only while no target has
-# responded.
+# they need to process a probe. Slower ones are awaited longer only while no target has
+# responded, and for a shorter time while none that responded suffices.
 FIRST_WAIT_S = 0.012
+INSUFFICIENT_WAIT_S = 0.03
 MAX_WAIT_S = 0.06
 PROBE_TIMEOUT_S = 0.15
 
@@ -45,9 +46,15 @@
         self.clock = clock
 
     async def probe(
-        self, records: Collection[TargetRecord], health_path: str
+        self,
+        records: Collection[TargetRecord],
+        health_path: str,
+        is_sufficient: Callable[[HealthReport], bool] = lambda report: True,
     ) -> list[ProbeResponse]:
-        """Return the responses that arrive in time; late ones only update records."""
+        """Return the responses that arrive in time; late ones only update records.
+
+        Late responses are awaited longer if none of the others is sufficient.
+        """
         tasks = [
             asyncio.ensure_future(self._probe_one(record, health_path))
             for record in records
@@ -55,14 +62,7 @@
         if not tasks:
             return []
         try:
-            done, late = await asyncio.wait(tasks, timeout=FIRST_WAIT_S)
-            if late and not any(task.result() for task in done):
-                more, late = await asyncio.wait(
-                    late,
-                    timeout=MAX_WAIT_S - FIRST_WAIT_S,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                done |= more
+            done, late = await self._wait_for_sufficient(tasks, is_sufficient)
         except asyncio.CancelledError:
             for task in tasks:
                 task.add_done_callback(self._release_when_done)
@@ -71,6 +71,28 @@
             task.add_done_callback(self._release_when_done)
         return [task.result() for task in done if task.result() is not None]
 
+    async def _wait_for_sufficient(
+        self,
+        tasks: Collection[asyncio.Task],
+        is_sufficient: Callable[[HealthReport], bool],
+    ) -> tuple[set[asyncio.Task], set[asyncio.Task]]:
+        """Return the probes that ended and those that are late."""
+        started_at_s = self.clock.now_s()
+        done, late = await asyncio.wait(tasks, timeout=FIRST_WAIT_S)
+        while late:
+            responses = [task.result() for task in done if task.result() is not None]
+            if any(is_sufficient(response.report) for response in responses):
+                break
+            limit_s = INSUFFICIENT_WAIT_S if responses else MAX_WAIT_S
+            left_s = started_at_s + limit_s - self.clock.now_s()
+            if left_s <= 0:
+                break
+            more, late = await asyncio.wait(
+                late, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            done |= more
+        return done, late
+
     def release(self, response: ProbeResponse) -> None:
         """Return the connection of an unused response to the pool."""
         self.pool.return_connection(response.address, response.connection)
--- a/packages/baobabring/baobabring/program/entry/_target_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_target_chooser.py
@@ -4,6 +4,8 @@
 from baobabring.entry import (
     Admission,
     CallProblem,
+    EntryCall,
+    HealthReport,
     ProbeAgain,
     ProbeRateBudget,
     RefuseCall,
@@ -16,6 +18,7 @@
 from baobabring.program.entry._wait_queue import Assignment, WaitQueue, assign
 from baobabring.utils import Clock
 
+MS_PER_S = 1_000
 MAX_PROBE_ROUNDS = 3
 # A call with less time left is refused: it isn't worth a target's work.
 MIN_TIME_LEFT_S = 0.005
@@ -128,9 +131,24 @@
         if service is None or not records:
             return
         progress.probes += len(records)
-        for response in await self.prober.probe(records, service.health_path):
+
+        def is_sufficient(report: HealthReport) -> bool:
+            return self._meets_goal(progress.call, report)
+
+        for response in await self.prober.probe(
+            records, service.health_path, is_sufficient
+        ):
             responses[response.report.target_id] = response
             if response.report.load is not None:
                 self.ranker.estimates.record_slowdown(
                     service.service_id, response.report.load.slowdown
                 )
+
+    def _meets_goal(self, call: EntryCall, report: HealthReport) -> bool:
+        """Return whether a target has a free slot and would meet the latency goal."""
+        now_s = self.clock.now_s()
+        offers = self.ranker.offers(call, [report], now_s)
+        return any(
+            offer.has_free_slot and now_s + offer.finish_ms / MS_PER_S <= call.goal_at_s
+            for offer in offers
+        )
