Probe targets that stay slow less than busy fast ones

Targets that nobody sends calls to are idle, which ranked them first however slow they had reported to be, and after 0.3 s the report was forgotten. Rounds of probes at such targets used up the fleet's budget, and the fewer probes left found only them.

Change: the rank of a target counts the slot that the call would take, times the slowdown to expect, in which a report counts less with its age against how long speeds last, up to a second.

--- a/packages/baobabring/baobabring/entry/_estimates.py
+++ b/packages/baobabring/baobabring/entry/_estimates.py
@@ -91,7 +91,7 @@
     def expected_slowdown(self, call: EntryCall, reported: float) -> float:
         """Return the expected mean slowdown during a call, given the reported one."""
         weight = self._reported_weight(call, reported)
-        mean = self._mean_slowdown(call.service_id)
+        mean = self.mean_slowdown(call.service_id)
         return weight * reported + (1.0 - weight) * mean
 
     def speed_lifetime_ms(self, service_id: str) -> float:
@@ -107,7 +107,7 @@
         `reported` is the slowdown that the target reported before the call. A call
         that was not finished would have taken longer than `took_ms`.
         """
-        mean = self._mean_slowdown(call.service_id)
+        mean = self.mean_slowdown(call.service_id)
         if abs(reported - mean) < MIN_SLOWDOWN_DIFFERENCE:
             return
         work_ms = max(self.work_ms(call.route), 1.0)
@@ -128,7 +128,8 @@
         lifetime_ms = self.speed_lifetime_ms(call.service_id)
         return min(1.0, lifetime_ms / max(work_ms, 1.0))
 
-    def _mean_slowdown(self, service_id: str) -> float:
+    def mean_slowdown(self, service_id: str) -> float:
+        """Return the mean slowdown that a service's targets reported."""
         average = self._slowdowns.get(service_id)
         return average.value if average is not None else INITIAL_SLOWDOWN
 
--- a/packages/baobabring/baobabring/entry/_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/_target_ranker.py
@@ -15,6 +15,9 @@
 RANK_JITTER = 0.5
 REMOTE_ZONE_RANK_PENALTY = 0.35
 UNKNOWN_OCCUPANCY = 0.5
+# A slow target is probed again after some of these, however long speeds last.
+MAX_SPEED_MEMORY_S = 1.0
+MS_PER_S = 1_000
 # Costs in multiples of the latency goal. A failed call costs its caller more than a
 # late one.
 FAILURE_COST_GOALS = 1.5
@@ -168,8 +171,9 @@
         load = record.load
         if load is not None and now_s - record.load_at_s < LOAD_REPORT_MAX_AGE_S:
             occupancy = (load.running + load.waiting) / max(1, load.slots)
-            occupancy *= load.slowdown
-        rank = occupancy + record.own_in_flight / slots
+        # Of idle targets, too, the faster ones rank first.
+        rank = (occupancy + 1 / slots) * self._relative_slowdown(record, now_s)
+        rank += record.own_in_flight / slots
         rank += record.failure_rate(self.instance_count, now_s)
         if not record.healthy:
             rank += 1.0
@@ -177,6 +181,20 @@
             rank += REMOTE_ZONE_RANK_PENALTY
         return rank + self.rng.random() * RANK_JITTER
 
+    def _relative_slowdown(self, record: TargetRecord, now_s: float) -> float:
+        """Return the slowdown to expect, relative to the mean of the service.
+
+        A report counts less the older it is compared with how long speeds last.
+        """
+        if record.load is None:
+            return 1.0
+        service_id = record.target.service_id
+        mean = self.estimates.mean_slowdown(service_id)
+        lifetime_s = self.estimates.speed_lifetime_ms(service_id) / MS_PER_S
+        lifetime_s = min(lifetime_s, MAX_SPEED_MEMORY_S)
+        weight = 0.5 ** ((now_s - record.load_at_s) / lifetime_s)
+        return 1.0 + weight * (record.load.slowdown / mean - 1.0)
+
     def _can_send_to(self, record: TargetRecord, now_s: float) -> bool:
         if not record.is_cold(now_s):
             return True
--- a/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
@@ -171,3 +171,25 @@
         build_report("t-2", running=0, slowdown=1.6),
     ]
     assert ranker.offers(call, reports, 0.0)[0].target_id == "t-2"
+
+
+def test_idle_targets_that_stay_slow_are_probed_less_than_busy_fast_ones():
+    # Pattern: targets that are slow for seconds idle, since nobody sends calls to them.
+    ranker = build_ranker([build_target(f"t-{number}") for number in range(1, 9)])
+    call = build_call()
+    slow_ids = {"t-1", "t-2", "t-3", "t-4"}
+    for record in ranker.target_table.usable_targets(SERVICE):
+        target_id = record.target.target_id
+        is_slow = target_id in slow_ids
+        running, slowdown = (0, 12.0) if is_slow else (1, 1.0)
+        record.record_report(build_report(target_id, running, slowdown=slowdown), 0.0)
+    for slowdown in [1.0, 1.0, 1.0, 12.0] * 50:
+        ranker.estimates.record_slowdown(SERVICE, slowdown)
+        took_ms = ranker.estimates.work_ms(call.route) * slowdown
+        ranker.estimates.record_speed(call, took_ms, slowdown)
+    for now_s in (0.1, 0.5):
+        probed = [name for _ in range(50) for name in probed_ids(ranker, now_s=now_s)]
+        slow_count = sum(name in slow_ids for name in probed)
+        assert slow_count < 0.1 * len(probed)
+    later = {name for _ in range(50) for name in probed_ids(ranker, now_s=8.0)}
+    assert later >= slow_ids
