--- a/packages/baobabring/baobabring/balancing/_settings.py
+++ b/packages/baobabring/baobabring/balancing/_settings.py
@@ -1,6 +1,7 @@
 """Settings of load balancing."""
 
 from dataclasses import dataclass
+from math import isfinite
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +70,7 @@
 
     def __post_init__(self) -> None:
         _check_positive(self)
+        _check_not_negative(self)
         if not 0.0 <= self.ejection_share < 1.0:
             raise ValueError(
                 f"ejection_share must be in [0, 1), got {self.ejection_share!r}"
@@ -91,5 +93,17 @@
         "warm_after_responses",
     ):
         value = getattr(settings, name)
-        if value <= 0:
+        if not (value > 0 and isfinite(value)):
             raise ValueError(f"{name} must be positive, got {value!r}")
+
+
+def _check_not_negative(settings: BalancingSettings) -> None:
+    for name in (
+        "clock_skew_s",
+        "cold_settle_s",
+        "cold_proposal_interval_s",
+        "cold_rank_delay_s",
+    ):
+        value = getattr(settings, name)
+        if not (value >= 0 and isfinite(value)):
+            raise ValueError(f"{name} must not be negative, got {value!r}")
--- a/packages/baobabring/baobabring/platform/node_settings.py
+++ b/packages/baobabring/baobabring/platform/node_settings.py
@@ -99,9 +99,7 @@
         """Return the first port of a range, given as first and last port."""
         value = self._get_value(field_name)
         is_pair = isinstance(value, list) and len(value) == 2
-        if is_pair and all(
-            isinstance(port, int) and 0 < port < 65_536 for port in value
-        ):
+        if is_pair and all(_is_port(port) for port in value):
             return value[0]
         self._add_finding(field_name, f"expected a list of two ports, got {value!r}")
         return 0
@@ -118,6 +116,11 @@
         self.findings.append(FieldFinding(self.path, field_name, problem))
 
 
+def _is_port(value) -> bool:
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    return is_integer and 0 < value < 65_536
+
+
 def read_node_settings(path: Path) -> EntrySettings:
     """Return the settings of an entry instance, or raise `InvalidNodeSettingsError`."""
     try:
--- a/packages/baobabring/baobabring/platform/tests/test_node_settings.py
+++ b/packages/baobabring/baobabring/platform/tests/test_node_settings.py
@@ -58,6 +58,18 @@
     }
 
 
+def test_truth_value_is_no_port(tmp_path):
+    text = TEXT.replace("[7200, 7215]", "[true, 7215]")
+    with pytest.raises(InvalidNodeSettingsError, match="internal-ports: expected"):
+        read_node_settings(write_file(tmp_path, text))
+
+
+def test_bodies_may_use_an_eighth_of_the_memory(tmp_path):
+    text = TEXT + "[local-node.limits]\nmemory-mb = 200\n"
+    settings = read_node_settings(write_file(tmp_path, text))
+    assert settings.body_memory_bytes == 25_000_000
+
+
 def test_file_with_invalid_toml_is_reported(tmp_path):
     file = write_file(tmp_path, "[local-node")
     with pytest.raises(InvalidNodeSettingsError, match="node.toml: file"):
--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -126,6 +126,7 @@
         await self._join()
         while True:
             await asyncio.sleep(ALIVE_INTERVAL_S)
+            self._forget_silent()
             self._probes_per_s = self.probe_budget.pop_sent_count() / ALIVE_INTERVAL_S
             if self.is_reader():
                 self._remove_silent()
@@ -286,6 +287,17 @@
         if silent:
             self._on_instances_changed()
 
+    def _forget_silent(self) -> None:
+        """Stop counting peers in shared limits that were silent for long."""
+        now_s = self.clock.now_s()
+        forgotten = [
+            p for p, until_s in self._counted_until_s.items() if until_s < now_s
+        ]
+        for peer_id in forgotten:
+            del self._counted_until_s[peer_id]
+        if forgotten:
+            self._on_instances_changed()
+
     def _remove_peer(self, peer_id: str, now_s: float) -> None:
         del self._peers[peer_id]
         self._counted_until_s[peer_id] = now_s + SILENT_PEER_RETENTION_S
--- a/packages/baobabring/baobabring/program/entry/tests/test_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_peer_task.py
@@ -91,6 +91,14 @@
     assert peer_task.known_ids() == {"i-0"}
 
 
+def test_peers_that_were_silent_for_long_are_forgotten(peer_task, clock):
+    clock.at_s += PEER_TIMEOUT_S + 1
+    peer_task._remove_silent()
+    clock.at_s += SILENT_PEER_RETENTION_S + 1
+    peer_task._forget_silent()
+    assert not peer_task._counted_until_s
+
+
 def test_message_without_known_reader_goes_to_few_peers(peer_task):
     for number in range(3, 100):
         peer_task.record_peer(f"i-{number}", f"10.0.0.{number}:1")
--- a/packages/baobabring/baobabring/retries/_chain.py
+++ b/packages/baobabring/baobabring/retries/_chain.py
@@ -17,6 +17,7 @@
     text = header_value.strip()
     if not (text.isascii() and text.isdigit()):
         return 0
+    text = text.lstrip("0") or "0"
     # A much longer number is not converted, since int() raises for very long ones.
     return limit if len(text) > len(str(limit)) + 4 else min(limit, int(text))
 
--- a/packages/baobabring/baobabring/retries/tests/test_chain.py
+++ b/packages/baobabring/baobabring/retries/tests/test_chain.py
@@ -13,7 +13,15 @@
 
 @pytest.mark.parametrize(
     ("value", "expected"),
-    [(None, 2), ("0", 0), (" 1 ", 1), ("7", 2), ("9" * 9999, 2)],
+    [
+        (None, 2),
+        ("0", 0),
+        (" 1 ", 1),
+        ("7", 2),
+        ("9" * 9999, 2),
+        ("000000", 0),
+        ("0000001", 1),
+    ],
 )
 def test_retries_in_the_header_are_limited(value, expected):
     assert parse_retries_left(value) == expected
