Pass on only responses of which more than a small body has arrived

Cause: after 20 ms a response was passed on however little of it had come. A target that answers and falls silent then holds its caller until the deadline, where the call could still be hedged; before responses were streamed it was.

Change: small bodies are always returned whole, and longer ones passed on once more than 32 KiB are there.

--- a/packages/baobabring/baobabring/connections/_connection.py
+++ b/packages/baobabring/baobabring/connections/_connection.py
@@ -28,8 +28,9 @@
 # A body that is complete within this time is returned whole, so that a call whose
 # response is cut short can be repeated. Otherwise it is passed on as it arrives.
 WHOLE_BODY_WAIT_S = 0.02
-# Bodies up to this size are returned as bytes once they are complete.
-SMALL_BODY_BYTES = 64 * 1024
+# Bodies up to this size are always returned whole: they take little time to arrive, and
+# a call whose response stalls at its beginning can still be hedged.
+SMALL_BODY_BYTES = 32 * 1024
 
 
 class ExchangeFailure(StrEnum):
@@ -250,23 +251,33 @@
             self._transport,
         )
         self._stream_timer = self._loop.call_later(
-            WHOLE_BODY_WAIT_S, self._return_response
+            WHOLE_BODY_WAIT_S, self._on_whole_body_late
         )
 
+    def _on_whole_body_late(self) -> None:
+        """Stop waiting for the whole body."""
+        self._stream_timer = None
+        self._pass_on_unless_small(self._response.stream)
+
+    def _pass_on_unless_small(self, stream: ReceivedBody) -> None:
+        if stream.held_bytes > SMALL_BODY_BYTES:
+            self._return_response()
+
     def _return_response(self) -> None:
         """Return the response to its exchange, complete or with a stream."""
-        if self._stream_timer is not None:
-            self._stream_timer.cancel()
-            self._stream_timer = None
+        self._stop_stream_timer()
         exchange = self._exchange
         if exchange is not None and not exchange.response.done():
             self._response.body_took_s = self._loop.time() - self._headers_at_s
             exchange.response.set_result(self._response)
 
-    def _end_stream(self, end: BodyEnd) -> None:
+    def _stop_stream_timer(self) -> None:
         if self._stream_timer is not None:
             self._stream_timer.cancel()
             self._stream_timer = None
+
+    def _end_stream(self, end: BodyEnd) -> None:
+        self._stop_stream_timer()
         if self._response is not None and self._response.stream is not None:
             self._response.stream.finish(end)
 
@@ -285,8 +296,8 @@
         stream = self._response.stream
         if stream is not None:
             stream.feed(body)
-            if stream.exceeds_limit:
-                self._return_response()
+            if stream.exceeds_limit or self._stream_timer is None:
+                self._pass_on_unless_small(stream)
             return
         self._response.body += body
         if len(self._response.body) > RESPONSE_LIMIT_BYTES:
