--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -50,6 +50,16 @@
 from baobabring.entry._routes import RouteTable, WeightedRoundRobin
 from baobabring.entry._settings import EntrySettings, FleetLimits
 from baobabring.entry._shared_view import FleetStatus, SharedView
+from baobabring.entry._target_limits import (
+    LimitAbsent,
+    LimitAnnouncement,
+    LimitChange,
+    LimitNamed,
+    LimitSource,
+    LimitUnreadable,
+    TargetLimit,
+    TargetLimits,
+)
 from baobabring.entry._target_ranker import Offer, RankerSettings, TargetRanker
 from baobabring.entry._target_table import HealthReport, TargetRecord, TargetTable
 from baobabring.entry._view import (
@@ -95,6 +105,12 @@
     "InstanceAlive",
     "InstanceChanges",
     "InstanceList",
+    "LimitAbsent",
+    "LimitAnnouncement",
+    "LimitChange",
+    "LimitNamed",
+    "LimitSource",
+    "LimitUnreadable",
     "LoadReport",
     "NotRun",
     "Offer",
@@ -106,6 +122,8 @@
     "SendCall",
     "SharedView",
     "TargetResponse",
+    "TargetLimit",
+    "TargetLimits",
     "TargetTable",
     "TargetRanker",
     "TargetRecord",
--- a/packages/baobabring/baobabring/platform/tests/test_wire.py
+++ b/packages/baobabring/baobabring/platform/tests/test_wire.py
@@ -3,7 +3,7 @@
 import pytest
 
 from baobabring.connections import HttpResponse
-from baobabring.entry import LoadReport
+from baobabring.entry import LimitAbsent, LimitNamed, LimitUnreadable, LoadReport
 from baobabring.entry.tests.builders import build_call, build_target
 from baobabring.platform import wire
 
@@ -118,3 +118,39 @@
     )
     names = {name for name, _ in wire.filter_response_headers(response)}
     assert names == {b"x-baobabring-upstream-signature", b"content-type"}
+
+
+@pytest.mark.parametrize(
+    "value,announcement",
+    [
+        ("4.8", LimitNamed(4.8)),
+        (" 12 ", LimitNamed(12.0)),
+        ("0", LimitNamed(0.0)),
+        ("9, 3.5", LimitNamed(3.5)),
+        ("nan, 3.5", LimitNamed(3.5)),
+        ("", LimitUnreadable("")),
+        ("-1", LimitUnreadable("-1")),
+        ("nan", LimitUnreadable("nan")),
+        ("inf", LimitUnreadable("inf")),
+        ("1e3", LimitUnreadable("1e3")),
+        ("1_0", LimitUnreadable("1_0")),
+        ("9" * 80, LimitUnreadable("9" * 60)),
+        ("Fri, 04 Dec 2026", LimitUnreadable("Fri,04 Dec 2026")),
+    ],
+)
+def test_limit_is_a_plain_decimal_number(value, announcement):
+    assert wire.parse_limit(build_response(server_limit=value)) == announcement
+
+
+def test_lowest_of_repeated_limits_counts():
+    response = HttpResponse(headers=[(b"server-limit", b"8"), (b"server-limit", b"2")])
+    assert wire.parse_limit(response) == LimitNamed(2.0)
+
+
+def test_response_without_limit():
+    assert wire.parse_limit(build_response()) == LimitAbsent()
+
+
+def test_limit_is_not_forwarded_to_callers():
+    response = build_response(server_limit="3", x_other="a")
+    assert wire.filter_response_headers(response) == [(b"x-other", b"a")]
--- a/packages/baobabring/baobabring/platform/wire.py
+++ b/packages/baobabring/baobabring/platform/wire.py
@@ -1,9 +1,19 @@
 """Headers of the platform, and the requests and responses that have them."""
 
+import re
 from dataclasses import dataclass
 
 from baobabring.connections import HttpResponse
-from baobabring.entry import EntryCall, EntryTarget, HealthReport, LoadReport
+from baobabring.entry import (
+    EntryCall,
+    EntryTarget,
+    HealthReport,
+    LimitAbsent,
+    LimitAnnouncement,
+    LimitNamed,
+    LimitUnreadable,
+    LoadReport,
+)
 
 # Identifies a call. A caller that retries sends a new id.
 CALL_ID_HEADER = b"x-baobabring-attempt-id"
@@ -17,11 +27,17 @@
 LOAD_HEADER = b"x-baobabring-upstream-load"
 TARGET_ID_HEADER = b"x-baobabring-instance-id"
 COLD_TIME_LEFT_HEADER = b"x-baobabring-warmup-ms"
+# Requests a second that the target takes from all instances together.
+LIMIT_HEADER = b"server-limit"
 
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
 NORMAL_SPEED_PERCENT = 100.0
 MIN_LOAD_FIELDS = 3
+MAX_LOGGED_VALUE_CHARS = 60
+
+# A rate as a plain decimal number; none that is valid needs more digits.
+_RATE_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 # Hop-by-hop headers, and headers that are replaced for the target.
 _DROPPED_REQUEST_HEADERS = frozenset(
@@ -46,6 +62,14 @@
     LOAD_HEADER,
     COLD_TIME_LEFT_HEADER,
     TARGET_ID_HEADER,
+    LIMIT_HEADER,
+}
+_KNOWN_RESPONSE_HEADERS = _DROPPED_RESPONSE_HEADERS | {
+    CALL_ID_HEADER,
+    SIGNATURE_HEADER,
+    b"content-type",
+    b"date",
+    b"server",
 }
 
 Headers = list[tuple[bytes, bytes]]
@@ -132,6 +156,31 @@
     return LoadReport(running, waiting, slots, max(percent, 1.0) / NORMAL_SPEED_PERCENT)
 
 
+def parse_limit(response: HttpResponse) -> LimitAnnouncement:
+    """Return what a response says about the target's limit.
+
+    The lowest of several valid values counts.
+    """
+    values = [
+        value.strip()
+        for name, joined in response.headers
+        if name == LIMIT_HEADER
+        for value in joined.split(b",")
+    ]
+    if not values:
+        return LimitAbsent()
+    rates = [float(value) for value in values if _RATE_PATTERN.fullmatch(value)]
+    if not rates:
+        text = b",".join(values).decode("latin-1")
+        return LimitUnreadable(text[:MAX_LOGGED_VALUE_CHARS])
+    return LimitNamed(min(rates))
+
+
+def unknown_header_names(response: HttpResponse) -> list[bytes]:
+    """Return the names of a response's headers that have no meaning here."""
+    return [name for name, _ in response.headers if name not in _KNOWN_RESPONSE_HEADERS]
+
+
 def is_not_run_response(response: HttpResponse) -> bool:
     """Return whether the target states that it did not run the call."""
     if response.header(NOT_RUN_HEADER) is not None:
--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -17,6 +17,7 @@
     BodyEnd,
     CallProblem,
     EntryCall,
+    LimitSource,
     Offer,
     TargetRanker,
     TargetResponse,
@@ -30,6 +31,7 @@
     parse_load,
 )
 from baobabring.program.entry._failure_counts import FailureCounts
+from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._metrics import ENTRY_ATTEMPTS, ENTRY_STREAMS
 from baobabring.program.entry._progress import CallProgress
 from baobabring.program.entry._wait_queue import Assignment
@@ -56,12 +58,14 @@
         self,
         ranker: TargetRanker,
         failure_counts: FailureCounts,
+        limit_observer: LimitObserver,
         pool: ConnectionPool,
         body_memory: BodyMemory,
         clock: Clock,
     ) -> None:
         self.ranker = ranker
         self.failure_counts = failure_counts
+        self.limit_observer = limit_observer
         self.pool = pool
         self.body_memory = body_memory
         self.clock = clock
@@ -78,6 +82,7 @@
         progress.tried_targets.append(target.target_id)
         progress.sent = True
         self.ranker.record_call_sent(target.target_id, sent_at_s)
+        self.limit_observer.count_call(target)
         end: AttemptEnd = AttemptLost(CallProblem.CALLER_LEFT)
         try:
             end = await self._exchange(progress, assignment, request)
@@ -112,6 +117,9 @@
         load = parse_load(response)
         if load is not None:
             assignment.record.record_load(load, now_s)
+        if has_target_signature(response) or is_not_run_response(response):
+            target = assignment.record.target
+            self.limit_observer.observe(target, response, LimitSource.CALL, sent_at_s)
         return self._read_response(call, assignment, response, now_s - sent_at_s)
 
     def _read_response(
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -21,6 +21,7 @@
     RankerSettings,
     ReadSchedule,
     SharedView,
+    TargetLimits,
     TargetRanker,
     TargetTable,
     WorkEstimates,
@@ -38,6 +39,7 @@
 from baobabring.program.entry._call_runner import CallRunner
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._forwarder import Forwarder
+from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._metrics import BODY_BYTES, TARGETS, VIEW_AGE
 from baobabring.program.entry._peer_messages import ENTRY_MESSAGES
 from baobabring.program.entry._peer_task import PeerTask
@@ -114,6 +116,7 @@
             self.cold_start_limiter,
             rng,
         )
+        self.limit_observer = LimitObserver(TargetLimits(), self.clock)
         self.retry_budget = FleetRetryBudget(settings.limits)
         self.pool = ConnectionPool()
         admission = Admission(rng)
@@ -121,10 +124,20 @@
         BODY_BYTES.set_function(lambda: body_memory.held_bytes)
         forwarder = Forwarder(
             TargetChooser(
-                self.ranker, admission, self.probe_budget, self.pool, self.clock
+                self.ranker,
+                admission,
+                self.probe_budget,
+                self.limit_observer,
+                self.pool,
+                self.clock,
             ),
             AttemptRunner(
-                self.ranker, self.failure_counts, self.pool, body_memory, self.clock
+                self.ranker,
+                self.failure_counts,
+                self.limit_observer,
+                self.pool,
+                body_memory,
+                self.clock,
             ),
             admission,
             self.retry_budget,
@@ -191,6 +204,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.pool.close_expired()
+            self.limit_observer.tick()
             if self.shared_view.confirmed_at_s is not None:
                 VIEW_AGE.set(self.clock.now_s() - self.shared_view.confirmed_at_s)
 
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_limit_observer.py
@@ -0,0 +1,144 @@
+"""Observation of the rate limits that targets announce, and of their use."""
+
+from collections import Counter
+
+import logbook
+
+from baobabring.connections import HttpResponse
+from baobabring.entry import (
+    EntryTarget,
+    LimitAnnouncement,
+    LimitChange,
+    LimitSource,
+    LimitUnreadable,
+    TargetLimits,
+)
+from baobabring.platform.wire import parse_limit, unknown_header_names
+from baobabring.program.entry._metrics import (
+    LIMIT_ANNOUNCEMENTS,
+    LIMITED_REQUESTS,
+    LIMITED_TARGETS,
+)
+from baobabring.utils import Clock
+
+LOG = logbook.Logger("limits")
+
+MAX_LOGGED_HEADER_NAMES = 30
+
+
+class LimitObserver:
+    """Record the limits in the responses of targets, and log what changes.
+
+    It also counts the calls and probes that are sent to targets with a limit.
+    """
+
+    def __init__(self, limits: TargetLimits, clock: Clock) -> None:
+        self.limits = limits
+        self.clock = clock
+        self._calls: Counter[str] = Counter()
+        self._probes: Counter[str] = Counter()
+        self._unreadable: dict[str, str] = {}
+        self._header_names: set[bytes] = set()
+
+    def observe(
+        self,
+        target: EntryTarget,
+        response: HttpResponse,
+        source: LimitSource,
+        sent_at_s: float,
+    ) -> None:
+        """Record what a response of a target says about its limit."""
+        now_s = self.clock.now_s()
+        announcement = parse_limit(response)
+        change = self.limits.record(target, announcement, source, sent_at_s, now_s)
+        self._log_new_header_names(response, source)
+        if isinstance(announcement, LimitUnreadable):
+            self._log_unreadable(target, announcement, source)
+        if change is not None:
+            self._log_change(change, source, now_s - sent_at_s)
+
+    def count_call(self, target: EntryTarget) -> None:
+        """Count a call that is sent to a target."""
+        self._count(target, self._calls, LimitSource.CALL)
+
+    def count_probe(self, target: EntryTarget) -> None:
+        """Count a probe that is sent to a target."""
+        self._count(target, self._probes, LimitSource.PROBE)
+
+    def tick(self) -> None:
+        """Expire limits, and log what was sent to the limited targets since."""
+        now_s = self.clock.now_s()
+        for change in self.limits.expire(now_s):
+            self._log_change(change, None, None)
+        for limit in self.limits:
+            LOG.info(
+                "target limit in force",
+                target=limit.target_id,
+                per_s=limit.requests_per_s,
+                age_ms=round((now_s - limit.heard_at_s) * 1_000),
+                calls=self._calls.pop(limit.target_id, 0),
+                probes=self._probes.pop(limit.target_id, 0),
+            )
+        self._calls.clear()
+        self._probes.clear()
+
+    def _count(
+        self, target: EntryTarget, counter: Counter[str], kind: LimitSource
+    ) -> None:
+        if self.limits.requests_per_s(target) is None:
+            return
+        counter[target.target_id] += 1
+        LIMITED_REQUESTS.labels(kind.value).inc()
+
+    def _log_change(
+        self,
+        change: LimitChange,
+        source: LimitSource | None,
+        took_s: float | None,
+    ) -> None:
+        LIMIT_ANNOUNCEMENTS.labels(_kind_of(change)).inc()
+        LIMITED_TARGETS.set(len(self.limits))
+        LOG.info(
+            "target limit changed",
+            target=change.target_id,
+            before_per_s=change.before_per_s,
+            per_s=change.after_per_s,
+            source=source,
+            took_ms=None if took_s is None else round(took_s * 1_000, 1),
+        )
+
+    def _log_unreadable(
+        self, target: EntryTarget, announcement: LimitAnnouncement, source: LimitSource
+    ) -> None:
+        LIMIT_ANNOUNCEMENTS.labels("unreadable").inc()
+        if self._unreadable.get(target.target_id) == announcement.value:
+            return
+        self._unreadable[target.target_id] = announcement.value
+        LOG.warning(
+            "target limit is unreadable, the one before stays in force",
+            target=target.target_id,
+            value=announcement.value,
+            source=source,
+            per_s=self.limits.requests_per_s(target),
+        )
+
+    def _log_new_header_names(
+        self, response: HttpResponse, source: LimitSource
+    ) -> None:
+        """Log each header name of targets' responses once that has no meaning here."""
+        if len(self._header_names) >= MAX_LOGGED_HEADER_NAMES:
+            return
+        for name in unknown_header_names(response):
+            if name not in self._header_names:
+                self._header_names.add(name)
+                LOG.info(
+                    "target sent an unknown header",
+                    header=name.decode("latin-1"),
+                    source=source,
+                )
+
+
+def _kind_of(change: LimitChange) -> str:
+    if change.after_per_s is None:
+        return "ended"
+    return "named" if change.before_per_s is None else "changed"
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -25,6 +25,19 @@
 )
 BODY_BYTES = Gauge("baobabring_entry_body_bytes", "Bytes of bodies held for callers.")
 PROBES = Counter("baobabring_entry_probes_total", "Probes of targets for their health.")
+LIMIT_ANNOUNCEMENTS = Counter(
+    "baobabring_entry_limit_announcements_total",
+    "Changes of targets' rate limits and unreadable announcements of them.",
+    ("change",),
+)
+LIMITED_REQUESTS = Counter(
+    "baobabring_entry_limited_requests_total",
+    "Calls and probes sent to targets that announce a rate limit.",
+    ("kind",),
+)
+LIMITED_TARGETS = Gauge(
+    "baobabring_entry_limited_targets", "Targets that announce a rate limit."
+)
 STORE_CALLS = Counter(
     "baobabring_entry_store_calls_total", "Calls to the store by outcome.", ("outcome",)
 )
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -11,12 +11,13 @@
     HttpConnection,
     HttpResponse,
 )
-from baobabring.entry import HealthReport, TargetRecord
+from baobabring.entry import HealthReport, LimitSource, TargetRecord
 from baobabring.platform.wire import (
     CALL_ID_HEADER,
     build_health_request,
     parse_health_response,
 )
+from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._metrics import PROBES
 from baobabring.utils import Clock
 
@@ -41,8 +42,11 @@
 class Prober:
     """Probe the health and load of several targets at once."""
 
-    def __init__(self, pool: ConnectionPool, clock: Clock) -> None:
+    def __init__(
+        self, pool: ConnectionPool, limit_observer: LimitObserver, clock: Clock
+    ) -> None:
         self.pool = pool
+        self.limit_observer = limit_observer
         self.clock = clock
 
     async def probe(
@@ -108,6 +112,7 @@
         request = build_health_request(health_path, target.address)
         probed_at_s = self.clock.now_s()
         PROBES.inc()
+        self.limit_observer.count_probe(target)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection, response = await self._exchange(target.address, request)
@@ -126,6 +131,7 @@
             record.mark_unreachable(self.clock.now_s())
             return None
         record.record_report(report, self.clock.now_s())
+        self.limit_observer.observe(target, response, LimitSource.PROBE, probed_at_s)
         return ProbeResponse(report, target.address, connection)
 
     async def _exchange(
--- a/packages/baobabring/baobabring/program/entry/_target_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_target_chooser.py
@@ -13,6 +13,7 @@
     TargetRanker,
     TargetRecord,
 )
+from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._prober import Prober, ProbeResponse
 from baobabring.program.entry._progress import CallProgress
 from baobabring.program.entry._wait_queue import Assignment, WaitQueue, assign
@@ -32,6 +33,7 @@
         ranker: TargetRanker,
         admission: Admission,
         probe_budget: ProbeRateBudget,
+        limit_observer: LimitObserver,
         pool: ConnectionPool,
         clock: Clock,
     ) -> None:
@@ -39,7 +41,7 @@
         self.admission = admission
         self.probe_budget = probe_budget
         self.clock = clock
-        self.prober = Prober(pool, clock)
+        self.prober = Prober(pool, limit_observer, clock)
         self.wait_queue = WaitQueue(ranker, admission, self.prober, probe_budget, clock)
 
     async def choose(self, progress: CallProgress) -> Assignment | RefuseCall:
