--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -36,6 +36,14 @@
     time_left_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """Represent a call, whether it was run or not, or a health probe."""
+
+    is_probe: bool
+    received_at_s: float
+
+
 @dataclass(slots=True)
 class StandinTarget:
     """Serve calls and health probes on plain TCP connections."""
@@ -47,11 +55,14 @@
     service_time_s: float = 0.02
     fault: TargetFault = TargetFault.NONE
     warmup_left_ms: float = 0.0
+    # Value of the header that names the rate the target takes, in all responses.
+    limit: str | None = None
     # Size of the bodies that are sent in parts, and the pause before each part.
     download_bytes: int = 0
     part_interval_s: float = 0.0
     sent_parts: int = 0
     runs: list[CallRun] = field(default_factory=list)
+    requests: list[ReceivedRequest] = field(default_factory=list)
     cancelled_calls: int = 0
     address: str = ""
     running_calls: int = 0
@@ -119,6 +130,7 @@
         method, path, _ = lines[0].split(" ")
         headers = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
         body = await reader.readexactly(int(headers.get("content-length", "0")))
+        self.requests.append(ReceivedRequest(path == "/health", time.time()))
         if path == "/health":
             self._write_response(
                 writer, 200, {"X-Baobabring-Instance-Id": self.target_id}
@@ -216,6 +228,8 @@
         lines.append(
             f"X-Baobabring-Upstream-Load: {self.running_calls},0,{self.slots},100"
         )
+        if self.limit is not None:
+            lines.append(f"Server-Limit: {self.limit}")
         if self.warmup_left_ms:
             lines.append(f"X-Baobabring-Warmup-Ms: {int(self.warmup_left_ms)}")
         lines.append("Keep-Alive: timeout=10")
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
@@ -0,0 +1,86 @@
+"""Test the rate limits that targets name, with entry processes and stand-ins."""
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+
+from baobabstandins.usersplatform import (
+    EntryFleet,
+    StandinTarget,
+    allowed_requests,
+    build_rule,
+    most_requests_in_window,
+)
+
+MENU_RULE = build_rule("menu", "menuboard")
+FEES_RULE = build_rule("fees", "feedesk", idempotent=False)
+CALLERS_PER_INSTANCE = 4
+CALL_INTERVAL_S = 0.1
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    """Return a running fleet with three instances and four targets per service."""
+    async with EntryFleet(tmp_path, instance_count=3) as fleet:
+        for number in range(4):
+            await fleet.add_target(StandinTarget(f"i-m{number}", "menuboard"))
+            await fleet.add_target(StandinTarget(f"i-f{number}", "feedesk"))
+        fleet.publish([MENU_RULE, FEES_RULE], ["menuboard", "feedesk"])
+        await fleet.start()
+        yield fleet
+        for instance in fleet.instances:
+            assert not instance.read_unhandled_errors()
+
+
+async def send_calls(instance, path, until_s):
+    """Send calls until a time; return the status of each, None without response."""
+    statuses = []
+    async with aiohttp.ClientSession() as session:
+        while time.time() < until_s:
+            headers = {
+                "Host": "school.example",
+                "X-Baobabring-Attempt-Id": f"{instance.name}-{id(session)}"
+                f"-{len(statuses)}",
+                "X-Baobabring-Deadline-Ms": "1500",
+            }
+            try:
+                url = f"{instance.url}{path}"
+                async with session.get(url, headers=headers) as response:
+                    await response.read()
+                    statuses.append(response.status)
+            except aiohttp.ClientError:
+                statuses.append(None)
+            await asyncio.sleep(CALL_INTERVAL_S)
+    return statuses
+
+
+async def send_load(fleet, path, duration_s):
+    """Send calls by several callers at each instance; return all statuses."""
+    until_s = time.time() + duration_s
+    calls = [
+        send_calls(instance, path, until_s)
+        for instance in fleet.instances
+        for _ in range(CALLERS_PER_INSTANCE)
+    ]
+    return [status for statuses in await asyncio.gather(*calls) for status in statuses]
+
+
+def most_requests(target, named_at_s):
+    """Return the most calls and probes that a target got in a window until now."""
+    received_at_s = [request.received_at_s for request in target.requests]
+    return most_requests_in_window(received_at_s, named_at_s, time.time())
+
+
+# Guards against calls and probes to a target beyond the rate that it names.
+@pytest.mark.parametrize("path", ["/menu/1", "/fees/1"])
+async def test_fleet_keeps_the_rate_that_a_target_names(fleet, path):
+    service = "menuboard" if path == "/menu/1" else "feedesk"
+    limited, *_ = [t for t in fleet.targets if t.service_id == service]
+    await send_load(fleet, path, 1.0)
+    limited.limit = "1.5"
+    named_at_s = time.time()
+    statuses = await send_load(fleet, path, 8.0)
+    assert most_requests(limited, named_at_s) <= allowed_requests(1.5)
+    assert statuses.count(200) >= 0.98 * len(statuses)
