Keep the rate that a target names, over all instances and on every way to it

Callers saw: nothing at once; a target in need got up to 15 calls and many more probes a second where it had named 1, which is what its limit is there to prevent. Change: a limit is divided into permits, each for one probe and the call that follows it, so that both together stay within the rate. Few instances get them, by the rendezvous hashing that cold starts already use; FleetShares has it now for both. Each way to a target begins with a probe (first attempts, waiting calls, retries, hedges), so one place asks for the permit. Of limited targets, one is probed for a call at most.

--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -9,6 +9,7 @@
 )
 from baobabring.entry._cold_start_limiter import ColdStartLimiter
 from baobabring.entry._estimates import WorkEstimates
+from baobabring.entry._fleet_shares import FleetShares
 from baobabring.entry._hedging import hedge_at_s
 from baobabring.entry._instance_list import InstanceChanges, InstanceList
 from baobabring.entry._messages import (
@@ -61,6 +62,7 @@
     TargetLimits,
 )
 from baobabring.entry._target_ranker import Offer, RankerSettings, TargetRanker
+from baobabring.entry._target_rate_limiter import TargetRateLimiter
 from baobabring.entry._target_table import HealthReport, TargetRecord, TargetTable
 from baobabring.entry._view import (
     ConfigurationPublished,
@@ -99,6 +101,7 @@
     "FleetEvent",
     "FleetLimits",
     "FleetRetryBudget",
+    "FleetShares",
     "FleetStatus",
     "FleetView",
     "HealthReport",
@@ -126,6 +129,7 @@
     "TargetLimits",
     "TargetTable",
     "TargetRanker",
+    "TargetRateLimiter",
     "TargetRecord",
     "TargetRegistered",
     "TargetRemoved",
--- a/packages/baobabring/baobabring/entry/_cold_start_limiter.py
+++ b/packages/baobabring/baobabring/entry/_cold_start_limiter.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from math import ceil
 
-import xxhash
+from baobabring.entry._fleet_shares import FleetShares
 
 # Share of a cold target's rate limit that the fleet plans to use.
 PLANNED_SHARE = 0.8
@@ -13,19 +13,13 @@
     """Divide the rate limit of each cold target among the instances.
 
     If the limit is below one call per second for each instance, only some instances
-    may use the target. They are chosen by rendezvous hashing, so that instances with
-    the same view of the fleet agree on them without exchanging messages.
+    may use the target.
     """
 
-    def __init__(self, instance_id: str) -> None:
-        self.instance_id = instance_id
-        self._instances: tuple[str, ...] = (instance_id,)
+    def __init__(self, shares: FleetShares) -> None:
+        self.shares = shares
         self._next_at_s: dict[str, float] = {}
 
-    def set_instances(self, instance_ids: Collection[str]) -> None:
-        """Set the instances that share the limits."""
-        self._instances = tuple(sorted({*instance_ids, self.instance_id}))
-
     def can_send(self, target_id: str, calls_per_s: float, now_s: float) -> bool:
         """Return whether this instance may send another call to a cold target now."""
         if now_s < self._next_at_s.get(target_id, 0.0):
@@ -47,16 +41,10 @@
         planned_per_s = calls_per_s * PLANNED_SHARE
         if planned_per_s <= 0:
             return None
-        own_per_s = planned_per_s / len(self._instances)
+        own_per_s = planned_per_s / self.shares.instance_count
         if own_per_s >= 1:
             return 1 / own_per_s
-        users = min(len(self._instances), ceil(planned_per_s))
-        ranked = sorted(
-            self._instances,
-            key=lambda instance: xxhash.xxh64_intdigest(
-                f"{instance}/{target_id}".encode()
-            ),
-        )
-        if self.instance_id not in ranked[:users]:
+        users = min(self.shares.instance_count, ceil(planned_per_s))
+        if self.shares.rank(target_id) >= users:
             return None
         return max(1.0, users / planned_per_s)
--- a/packages/baobabring/baobabring/entry/_target_limits.py
+++ b/packages/baobabring/baobabring/entry/_target_limits.py
@@ -72,6 +72,9 @@
     def __len__(self) -> int:
         return len(self._limits)
 
+    def __contains__(self, target_id: str) -> bool:
+        return target_id in self._limits
+
     def __iter__(self) -> Iterator[TargetLimit]:
         return iter(self._limits.values())
 
--- a/packages/baobabring/baobabring/entry/_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/_target_ranker.py
@@ -7,6 +7,7 @@
 from baobabring.entry._cold_start_limiter import ColdStartLimiter
 from baobabring.entry._estimates import WorkEstimates
 from baobabring.entry._model import EntryCall, EntryConfiguration, LoadReport
+from baobabring.entry._target_rate_limiter import TargetRateLimiter
 from baobabring.entry._target_table import HealthReport, TargetRecord, TargetTable
 
 # A target's speed changes within about this time, which makes older reports useless.
@@ -69,6 +70,7 @@
         target_table: TargetTable,
         estimates: WorkEstimates,
         cold_start_limiter: ColdStartLimiter,
+        rate_limiter: TargetRateLimiter,
         rng: Random,
     ) -> None:
         self.zone = zone
@@ -76,6 +78,7 @@
         self.target_table = target_table
         self.estimates = estimates
         self.cold_start_limiter = cold_start_limiter
+        self.rate_limiter = rate_limiter
         self.rng = rng
         self.configuration = EntryConfiguration()
         self.instance_count = 1
@@ -93,13 +96,28 @@
             for record in self.target_table.usable_targets(service_id)
             if record.target.target_id not in excluded_targets
             and self._can_send_to(record, now_s)
+            and self.rate_limiter.can_probe(record.target, now_s)
         ]
         reachable = [r for r in candidates if r.unreachable_until_s <= now_s]
         ranked = sorted(
             reachable or candidates, key=lambda record: self._rank(record, now_s)
         )
+        ranked = self._keep_one_limited(ranked)
         return ranked[: count or self.settings.probed_targets]
 
+    def take_probes(
+        self,
+        service_id: str,
+        excluded_targets: Collection[str],
+        now_s: float,
+        count: int | None = None,
+    ) -> list[TargetRecord]:
+        """Return the targets to probe, and count the probes to those with a limit."""
+        records = self.targets_to_probe(service_id, excluded_targets, now_s, count)
+        for record in records:
+            self.rate_limiter.record_probe(record.target, now_s)
+        return records
+
     def offers(
         self, call: EntryCall, reports: Sequence[HealthReport], now_s: float
     ) -> list[Offer]:
@@ -109,10 +127,17 @@
             record = self.target_table.get_record(report.target_id)
             if record is None or not self.target_table.is_eligible(report.target_id):
                 continue
-            if self._can_send_to(record, now_s):
+            can_call = self.rate_limiter.can_call(record.target)
+            if can_call and self._can_send_to(record, now_s):
                 offers.append(self._offer(call, record, report, now_s))
         return sorted(offers, key=lambda offer: offer.cost_ms)
 
+    def record_call_assigned(self, target_id: str) -> None:
+        """Count a call that is assigned to a target, which may have a limit."""
+        record = self.target_table.get_record(target_id)
+        if record is not None:
+            self.rate_limiter.record_call(record.target)
+
     def record_call_sent(self, target_id: str, now_s: float) -> None:
         """Count a call that is sent to a target."""
         record = self.target_table.get_record(target_id)
@@ -203,6 +228,16 @@
             record.target.target_id, limit_per_s, now_s
         )
 
+    def _keep_one_limited(self, records: list[TargetRecord]) -> list[TargetRecord]:
+        """Return the records without all but the first that have a limit.
+
+        Only one of the probed targets gets the call, and the permits of the others
+        would be wasted.
+        """
+        limited = [r for r in records if self.rate_limiter.is_limited(r.target)]
+        surplus = {record.target.target_id for record in limited[1:]}
+        return [r for r in records if r.target.target_id not in surplus]
+
     def _cold_calls_per_s(self, record: TargetRecord) -> float:
         service = self.configuration.services.get(record.target.service_id)
         return service.cold_calls_per_s if service is not None else 1.0
--- a/packages/baobabring/baobabring/entry/tests/test_cold_start_limiter.py
+++ b/packages/baobabring/baobabring/entry/tests/test_cold_start_limiter.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from baobabring.entry import ColdStartLimiter
+from baobabring.entry import ColdStartLimiter, FleetShares
 
 
 @pytest.mark.parametrize(
@@ -13,9 +13,9 @@
     instances, calls_per_s, limit
 ):
     ids = [f"i-{number}" for number in range(instances)]
-    limiters = [ColdStartLimiter(name) for name in ids]
+    limiters = [ColdStartLimiter(FleetShares(name)) for name in ids]
     for cold_start_limiter in limiters:
-        cold_start_limiter.set_instances(ids)
+        cold_start_limiter.shares.set_instances(ids)
     sent_at_s = []
     for step in range(500):
         now_s = step / 100
@@ -32,9 +32,9 @@
 
 def test_each_cold_target_is_used_by_some_instances_of_a_large_fleet():
     ids = [f"i-{number}" for number in range(128)]
-    limiters = [ColdStartLimiter(name) for name in ids]
+    limiters = [ColdStartLimiter(FleetShares(name)) for name in ids]
     for cold_start_limiter in limiters:
-        cold_start_limiter.set_instances(ids)
+        cold_start_limiter.shares.set_instances(ids)
     for number in range(20):
         users = sum(limiter.can_send(f"t-{number}", 2.9, 0.0) for limiter in limiters)
         assert users == 3
@@ -44,7 +44,7 @@
     ids = [f"i-{number}" for number in range(13)]
     users = 0
     for name in ids:
-        cold_start_limiter = ColdStartLimiter(name)
-        cold_start_limiter.set_instances(ids if int(name[2:]) % 2 else ids[:10])
+        cold_start_limiter = ColdStartLimiter(FleetShares(name))
+        cold_start_limiter.shares.set_instances(ids if int(name[2:]) % 2 else ids[:10])
         users += cold_start_limiter.can_send("t-1", 2.9, 0.0)
     assert users <= 2.9 * 1.5 + 5
--- a/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
@@ -6,8 +6,11 @@
 
 from baobabring.entry import (
     ColdStartLimiter,
+    FleetShares,
     RankerSettings,
+    TargetLimits,
     TargetRanker,
+    TargetRateLimiter,
     TargetTable,
     WorkEstimates,
 )
@@ -24,12 +27,14 @@
     """Return the ranker of an instance in the zone `north`."""
     target_table = TargetTable("i-1", "north")
     target_table.set_targets(targets, zones_out, 0.0)
+    shares = FleetShares("i-1")
     ranker = TargetRanker(
         "north",
         RankerSettings(),
         target_table,
         WorkEstimates(),
-        ColdStartLimiter("i-1"),
+        ColdStartLimiter(shares),
+        TargetRateLimiter(TargetLimits(), shares),
         Random(1),
     )
     ranker.configuration = build_configuration()
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -17,12 +17,14 @@
     ColdStartLimiter,
     EntrySettings,
     FleetRetryBudget,
+    FleetShares,
     ProbeRateBudget,
     RankerSettings,
     ReadSchedule,
     SharedView,
     TargetLimits,
     TargetRanker,
+    TargetRateLimiter,
     TargetTable,
     WorkEstimates,
 )
@@ -107,16 +109,20 @@
             self.peer_task,
             self.clock,
         )
-        self.cold_start_limiter = ColdStartLimiter(settings.instance_id)
+        self.shares = FleetShares(settings.instance_id)
+        self.cold_start_limiter = ColdStartLimiter(self.shares)
+        target_limits = TargetLimits()
+        self.rate_limiter = TargetRateLimiter(target_limits, self.shares)
         self.ranker = TargetRanker(
             settings.zone,
             RankerSettings(),
             self.target_table,
             WorkEstimates(),
             self.cold_start_limiter,
+            self.rate_limiter,
             rng,
         )
-        self.limit_observer = LimitObserver(TargetLimits(), self.clock)
+        self.limit_observer = LimitObserver(target_limits, self.clock)
         self.retry_budget = FleetRetryBudget(settings.limits)
         self.pool = ConnectionPool()
         admission = Admission(rng)
@@ -205,6 +211,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.pool.close_expired()
             self.limit_observer.tick()
+            self.rate_limiter.remove_unlimited()
             if self.shared_view.confirmed_at_s is not None:
                 VIEW_AGE.set(self.clock.now_s() - self.shared_view.confirmed_at_s)
 
@@ -219,6 +226,7 @@
             view.targets.values(), view.zones_out, now_s
         )
         self.cold_start_limiter.remove_targets(removed)
+        self.shares.remove_targets(removed)
         TARGETS.set(len(view.targets))
         self.probe_budget.set_target_count(len(view.targets))
         self._update_readiness()
@@ -235,7 +243,7 @@
         self.schedule.set_instances(instances)
         # Peers that are only unreachable still use their shares of the fleet's limits.
         known = self.peer_task.known_ids()
-        self.cold_start_limiter.set_instances(known)
+        self.shares.set_instances(known)
         self.retry_budget.limits = self.settings.limits
         self.retry_budget.instance_count = len(known)
 
--- a/packages/baobabring/baobabring/program/entry/_target_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_target_chooser.py
@@ -100,7 +100,7 @@
             now_s = self.clock.now_s()
             wanted = self.ranker.settings.probed_targets
             count = self.probe_budget.grant(wanted)
-            records = self.ranker.targets_to_probe(call.service_id, seen, now_s, count)
+            records = self.ranker.take_probes(call.service_id, seen, now_s, count)
             await self._probe(progress, records, responses)
             seen.update(record.target.target_id for record in records)
             now_s = self.clock.now_s()
@@ -116,9 +116,7 @@
             )
             if isinstance(decision, SendCall):
                 target_id = decision.target_id
-                return assign(
-                    target_id, progress.offers, responses, self.ranker.target_table
-                )
+                return assign(target_id, progress.offers, responses, self.ranker)
             if isinstance(decision, RefuseCall) or not can_probe_others:
                 return decision
         return ProbeAgain(now_s)
--- a/packages/baobabring/baobabring/program/entry/_wait_queue.py
+++ b/packages/baobabring/baobabring/program/entry/_wait_queue.py
@@ -14,7 +14,6 @@
     SendCall,
     TargetRanker,
     TargetRecord,
-    TargetTable,
 )
 from baobabring.program.entry._prober import Prober, ProbeResponse
 from baobabring.program.entry._progress import CallProgress
@@ -39,12 +38,13 @@
     target_id: str,
     offers: Sequence[Offer],
     responses: dict[str, ProbeResponse],
-    target_table: TargetTable,
+    ranker: TargetRanker,
 ) -> Assignment:
     """Return the assignment to a target and remove its response from `responses`."""
+    ranker.record_call_assigned(target_id)
     offer = next(offer for offer in offers if offer.target_id == target_id)
     return Assignment(
-        target_table.get_record(target_id), responses.pop(target_id), offer
+        ranker.target_table.get_record(target_id), responses.pop(target_id), offer
     )
 
 
@@ -138,7 +138,7 @@
             wanted = len(waiters) * PROBES_PER_WAITING_CALL
             wanted = max(wanted, self.ranker.settings.probed_targets)
             granted = self.probe_budget.grant(wanted)
-            records = self.ranker.targets_to_probe(service_id, (), now_s, granted)
+            records = self.ranker.take_probes(service_id, (), now_s, granted)
             responses = await self.prober.probe(records, service.health_path)
             responses = {response.report.target_id: response for response in responses}
         for waiter in list(waiters):
@@ -163,7 +163,7 @@
             return
         if isinstance(decision, SendCall):
             target_id = decision.target_id
-            assigned = assign(target_id, offers, responses, self.ranker.target_table)
+            assigned = assign(target_id, offers, responses, self.ranker)
             waiter.decision.set_result(assigned)
             return
         waiter.decision.set_result(decision)
--- a/packages/baobabring/baobabring/program/entry/tests/test_wait_queue.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_wait_queue.py
@@ -8,10 +8,13 @@
 from baobabring.entry import (
     Admission,
     ColdStartLimiter,
+    FleetShares,
     ProbeRateBudget,
     RankerSettings,
     RefuseCall,
+    TargetLimits,
     TargetRanker,
+    TargetRateLimiter,
     TargetTable,
     WorkEstimates,
 )
@@ -71,12 +74,14 @@
     target_table = TargetTable("i-1", "north")
     target_table.set_targets([build_target()], (), 0.0)
     rng = Random(1)
+    shares = FleetShares("i-1")
     ranker = TargetRanker(
         "north",
         RankerSettings(),
         target_table,
         WorkEstimates(),
-        ColdStartLimiter("i-1"),
+        ColdStartLimiter(shares),
+        TargetRateLimiter(TargetLimits(), shares),
         rng,
     )
     ranker.configuration = build_configuration()
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
@@ -25,8 +25,8 @@
     """Return a running fleet with three instances and four targets per service."""
     async with EntryFleet(tmp_path, instance_count=3) as fleet:
         for number in range(4):
-            await fleet.add_target(StandinTarget(f"i-m{number}", "menuboard"))
-            await fleet.add_target(StandinTarget(f"i-f{number}", "feedesk"))
+            await fleet.add_target(StandinTarget(f"i-m{number}", "menuboard", slots=8))
+            await fleet.add_target(StandinTarget(f"i-f{number}", "feedesk", slots=8))
         fleet.publish([MENU_RULE, FEES_RULE], ["menuboard", "feedesk"])
         await fleet.start()
         yield fleet
