Pass on what targets say of their limits, so that their end reaches all instances

Callers would have seen: a target that needs no limit any more stays unused by most instances, which may not send to it and so never hear that the limit has ended. Cause: knowledge that comes only with responses, and a limiter that takes responses away. Later information wins, by the age that a notice states. It is a message of its own kind, so that a build before this one ignores it and its recorded bytes hold.

--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -14,6 +14,8 @@
 from baobabring.entry._instance_list import InstanceChanges, InstanceList
 from baobabring.entry._messages import (
     InstanceAlive,
+    LimitNotice,
+    TargetLimitNotices,
     ViewDelta,
     ViewHeartbeat,
     ViewRequest,
@@ -52,6 +54,7 @@
 from baobabring.entry._settings import EntrySettings, FleetLimits
 from baobabring.entry._shared_view import FleetStatus, SharedView
 from baobabring.entry._target_limits import (
+    LIMIT_LIFETIME_S,
     LimitAbsent,
     LimitAnnouncement,
     LimitChange,
@@ -75,6 +78,7 @@
 )
 
 __all__ = [
+    "LIMIT_LIFETIME_S",
     "Admission",
     "ProbeAgain",
     "AttemptAnswered",
@@ -112,6 +116,7 @@
     "LimitAnnouncement",
     "LimitChange",
     "LimitNamed",
+    "LimitNotice",
     "LimitSource",
     "LimitUnreadable",
     "LoadReport",
@@ -126,6 +131,7 @@
     "SharedView",
     "TargetResponse",
     "TargetLimit",
+    "TargetLimitNotices",
     "TargetLimits",
     "TargetTable",
     "TargetRanker",
--- a/packages/baobabring/baobabring/entry/_messages.py
+++ b/packages/baobabring/baobabring/entry/_messages.py
@@ -73,6 +73,27 @@
     zones_out: list[str]
 
 
+class LimitNotice(msgspec.Struct, array_like=True, frozen=True):
+    """Report what a target's response said about its limit `age_ms` ago.
+
+    A rate of None means that the limit has ended. `named_in` are the kinds of responses
+    that named the limit.
+    """
+
+    target_id: str
+    started_at_ms: int
+    requests_per_s: float | None
+    age_ms: float
+    named_in: list[str]
+
+
+class TargetLimitNotices(msgspec.Struct, array_like=True, frozen=True):
+    """Pass on limits of targets, to the reader or from it to all instances."""
+
+    sender: str
+    notices: list[LimitNotice]
+
+
 class ViewRequest(msgspec.Struct, array_like=True, frozen=True):
     """Request the complete view of a peer."""
 
--- a/packages/baobabring/baobabring/peers/_codec.py
+++ b/packages/baobabring/baobabring/peers/_codec.py
@@ -30,6 +30,7 @@
     VIEW_STATE = 8
     VIEW_REQUEST = 9
     VIEW_DELTA = 10
+    TARGET_LIMITS = 11
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -41,6 +41,7 @@
 from baobabring.program.entry._call_runner import CallRunner
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._forwarder import Forwarder
+from baobabring.program.entry._limit_exchange import LimitExchange
 from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._metrics import BODY_BYTES, TARGETS, VIEW_AGE
 from baobabring.program.entry._peer_messages import ENTRY_MESSAGES
@@ -123,6 +124,9 @@
             rng,
         )
         self.limit_observer = LimitObserver(target_limits, self.clock)
+        self.limit_exchange = LimitExchange(
+            self.limit_observer, self.peer_task, self.link, self.clock
+        )
         self.retry_budget = FleetRetryBudget(settings.limits)
         self.pool = ConnectionPool()
         admission = Admission(rng)
@@ -212,6 +216,7 @@
             self.pool.close_expired()
             self.limit_observer.tick()
             self.rate_limiter.remove_unlimited()
+            self.limit_exchange.send_notices()
             if self.shared_view.confirmed_at_s is not None:
                 VIEW_AGE.set(self.clock.now_s() - self.shared_view.confirmed_at_s)
 
--- a/packages/baobabring/baobabring/program/entry/_limit_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_limit_observer.py
@@ -6,9 +6,11 @@
 
 from baobabring.connections import HttpResponse
 from baobabring.entry import (
+    LIMIT_LIFETIME_S,
     EntryTarget,
     LimitAnnouncement,
     LimitChange,
+    LimitNotice,
     LimitSource,
     LimitUnreadable,
     TargetLimits,
@@ -23,6 +25,7 @@
 
 LOG = logbook.Logger("limits")
 
+MS_PER_S = 1_000
 MAX_LOGGED_HEADER_NAMES = 30
 
 
@@ -57,6 +60,13 @@
         if change is not None:
             self._log_change(change, source, now_s - sent_at_s)
 
+    def apply_notice(self, notice: LimitNotice, pass_on: bool) -> None:
+        """Record what a peer heard of a target's limit; with `pass_on`, tell others."""
+        now_s = self.clock.now_s()
+        change = self.limits.apply_notice(notice, pass_on, now_s)
+        if change is not None:
+            self._log_change(change, "peer", notice.age_ms / MS_PER_S)
+
     def count_call(self, target: EntryTarget) -> None:
         """Count a call that is sent to a target."""
         self._count(target, self._calls, LimitSource.CALL)
@@ -69,13 +79,13 @@
         """Expire limits, and log what was sent to the limited targets since."""
         now_s = self.clock.now_s()
         for change in self.limits.expire(now_s):
-            self._log_change(change, None, None)
+            self._log_change(change, "expiry", LIMIT_LIFETIME_S)
         for limit in self.limits:
             LOG.info(
                 "target limit in force",
                 target=limit.target_id,
                 per_s=limit.requests_per_s,
-                age_ms=round((now_s - limit.heard_at_s) * 1_000),
+                age_ms=round((now_s - limit.heard_at_s) * MS_PER_S),
                 calls=self._calls.pop(limit.target_id, 0),
                 probes=self._probes.pop(limit.target_id, 0),
             )
@@ -93,18 +103,18 @@
     def _log_change(
         self,
         change: LimitChange,
-        source: LimitSource | None,
-        took_s: float | None,
+        source: str,
+        age_s: float,
     ) -> None:
         LIMIT_ANNOUNCEMENTS.labels(_kind_of(change)).inc()
-        LIMITED_TARGETS.set(len(self.limits))
+        LIMITED_TARGETS.set(sum(1 for _ in self.limits))
         LOG.info(
             "target limit changed",
             target=change.target_id,
             before_per_s=change.before_per_s,
             per_s=change.after_per_s,
             source=source,
-            took_ms=None if took_s is None else round(took_s * 1_000, 1),
+            age_ms=round(age_s * MS_PER_S, 1),
         )
 
     def _log_unreadable(
--- a/packages/baobabring/baobabring/program/entry/_peer_messages.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_messages.py
@@ -2,6 +2,7 @@
 
 from baobabring.entry import (
     InstanceAlive,
+    TargetLimitNotices,
     ViewDelta,
     ViewHeartbeat,
     ViewRequest,
@@ -16,5 +17,6 @@
         MessageKind.VIEW_STATE: ViewState,
         MessageKind.VIEW_REQUEST: ViewRequest,
         MessageKind.VIEW_DELTA: ViewDelta,
+        MessageKind.TARGET_LIMITS: TargetLimitNotices,
     }
 )
