Use the whole limit of a target for calls, by not probing it

Change: a target with a limit is sent no probe. A new connection shows that it is alive, its load is assumed; a permit is for one call and is used up when the call is assigned, so that an unused connection wastes none. Probes and calls together stay within the same bound as before: the process test still counts both, unchanged. A 421 comes from another target at the address and says nothing about the limit.

--- a/packages/baobabring/baobabring/entry/_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/_target_ranker.py
@@ -1,7 +1,7 @@
 """Ranking of the targets to probe and of those that responded."""
 
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from baobabring.entry._cold_start_limiter import ColdStartLimiter
@@ -96,7 +96,7 @@
             for record in self.target_table.usable_targets(service_id)
             if record.target.target_id not in excluded_targets
             and self._can_send_to(record, now_s)
-            and self.rate_limiter.can_probe(record.target, now_s)
+            and self.rate_limiter.can_connect(record.target, now_s)
         ]
         reachable = [r for r in candidates if r.unreachable_until_s <= now_s]
         ranked = sorted(
@@ -105,6 +105,21 @@
         ranked = self._keep_one_limited(ranked)
         return ranked[: count or self.settings.probed_targets]
 
+    def next_permit_at_s(
+        self, service_id: str, excluded_targets: Collection[str], now_s: float
+    ) -> float:
+        """Return when the limits of targets allow the next call to a service.
+
+        That is now if any target has no limit or if none is known, and infinity if this
+        instance gets no permits.
+        """
+        times_s = [
+            self.rate_limiter.next_connect_at_s(record.target, now_s)
+            for record in self.target_table.usable_targets(service_id)
+            if record.target.target_id not in excluded_targets
+        ]
+        return max(now_s, min(times_s, default=now_s))
+
     def take_probes(
         self,
         service_id: str,
@@ -112,12 +127,20 @@
         now_s: float,
         count: int | None = None,
     ) -> list[TargetRecord]:
-        """Return the targets to probe, and count the probes to those with a limit."""
+        """Return the targets to probe, and record connections to limited ones."""
         records = self.targets_to_probe(service_id, excluded_targets, now_s, count)
         for record in records:
-            self.rate_limiter.record_probe(record.target, now_s)
+            self.rate_limiter.record_connect(record.target, now_s)
         return records
 
+    def assume_report(self, record: TargetRecord, now_s: float) -> HealthReport:
+        """Return what to assume about a target that may not be probed."""
+        load = record.load
+        if load is None or now_s - record.load_at_s > LOAD_REPORT_MAX_AGE_S:
+            mean = self.estimates.mean_slowdown(record.target.service_id)
+            load = replace(_assumed_load(record), slowdown=mean)
+        return HealthReport(record.target.target_id, record.healthy, load, 0.0, now_s)
+
     def offers(
         self, call: EntryCall, reports: Sequence[HealthReport], now_s: float
     ) -> list[Offer]:
@@ -127,16 +150,16 @@
             record = self.target_table.get_record(report.target_id)
             if record is None or not self.target_table.is_eligible(report.target_id):
                 continue
-            can_call = self.rate_limiter.can_call(record.target)
+            can_call = self.rate_limiter.can_call(record.target, now_s)
             if can_call and self._can_send_to(record, now_s):
                 offers.append(self._offer(call, record, report, now_s))
         return sorted(offers, key=lambda offer: offer.cost_ms)
 
-    def record_call_assigned(self, target_id: str) -> None:
-        """Count a call that is assigned to a target, which may have a limit."""
+    def record_call_assigned(self, target_id: str, now_s: float) -> None:
+        """Use a permit for a call that is assigned to a target with a limit."""
         record = self.target_table.get_record(target_id)
         if record is not None:
-            self.rate_limiter.record_call(record.target)
+            self.rate_limiter.record_call(record.target, now_s)
 
     def record_call_sent(self, target_id: str, now_s: float) -> None:
         """Count a call that is sent to a target."""
@@ -231,8 +254,7 @@
     def _keep_one_limited(self, records: list[TargetRecord]) -> list[TargetRecord]:
         """Return the records without all but the first that have a limit.
 
-        Only one of the probed targets gets the call, and the permits of the others
-        would be wasted.
+        Only one target gets the call, and connections to the others would be unused.
         """
         limited = [r for r in records if self.rate_limiter.is_limited(r.target)]
         surplus = {record.target.target_id for record in limited[1:]}
--- a/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
@@ -7,6 +7,8 @@
 from baobabring.entry import (
     ColdStartLimiter,
     FleetShares,
+    LimitNamed,
+    LimitSource,
     RankerSettings,
     TargetLimits,
     TargetRanker,
@@ -198,3 +200,40 @@
         assert slow_count < 0.1 * len(probed)
     later = {name for _ in range(50) for name in probed_ids(ranker, now_s=8.0)}
     assert later >= slow_ids
+
+
+def limit_targets(ranker, per_s, numbers):
+    """Record that some targets name a limit."""
+    for number in numbers:
+        target = ranker.target_table.get_record(f"t-{number}").target
+        announcement = LimitNamed(per_s)
+        limits = ranker.rate_limiter.limits
+        limits.record(target, announcement, LimitSource.PROBE, 0.0, 0.0)
+
+
+def test_only_one_limited_target_is_probed_for_a_call(ranker):
+    limit_targets(ranker, 100.0, range(1, 7))
+    assert probed_ids(ranker) == []
+    records = ranker.take_probes(SERVICE, (), 1.0)
+    assert len(records) == 1
+
+
+def test_limited_target_that_was_just_probed_is_not_probed_again(ranker):
+    limit_targets(ranker, 1.0, [1])
+    for step in range(20):
+        ranker.take_probes(SERVICE, (), 10.0 + step / 100, count=6)
+    assert "t-1" not in probed_ids(ranker, now_s=10.2, count=6)
+    assert "t-1" in probed_ids(ranker, now_s=20.0, count=6)
+
+
+def test_response_of_limited_target_without_permit_yields_no_offer(ranker):
+    limit_targets(ranker, 1.0, [1])
+    assert ranker.offers(build_call(), [build_report("t-1")], 0.1) == []
+
+
+def test_next_permit_counts_only_while_all_targets_are_limited(ranker):
+    limit_targets(ranker, 0.1, range(1, 6))
+    assert ranker.next_permit_at_s(SERVICE, (), 1.0) == 1.0
+    assert ranker.next_permit_at_s(SERVICE, {"t-6"}, 1.0) > 5.0
+    limit_targets(ranker, 0.1, [6])
+    assert ranker.next_permit_at_s(SERVICE, (), 1.0) > 5.0
--- a/packages/baobabring/baobabring/platform/tests/test_wire.py
+++ b/packages/baobabring/baobabring/platform/tests/test_wire.py
@@ -151,6 +151,15 @@
     assert wire.parse_limit(build_response()) == LimitAbsent()
 
 
+def test_response_of_another_target_at_the_address_is_recognized():
+    assert wire.is_of_expected_target(
+        build_response(503, x_baobabring_not_executed="1")
+    )
+    assert not wire.is_of_expected_target(build_response(421))
+    misdirected = build_response(421, x_baobabring_not_executed="1")
+    assert not wire.is_of_expected_target(misdirected)
+
+
 def test_limit_is_not_forwarded_to_callers():
     response = build_response(server_limit="3", x_other="a")
     assert wire.filter_response_headers(response) == [(b"x-other", b"a")]
--- a/packages/baobabring/baobabring/platform/wire.py
+++ b/packages/baobabring/baobabring/platform/wire.py
@@ -191,6 +191,13 @@
     )
 
 
+def is_of_expected_target(response: HttpResponse) -> bool:
+    """Return whether the target to which a call was sent produced the response."""
+    if response.status == STATUS_MISDIRECTED:
+        return False
+    return has_target_signature(response) or is_not_run_response(response)
+
+
 def has_target_signature(response: HttpResponse) -> bool:
     """Return whether the response has the header set by the target's program."""
     return response.header(SIGNATURE_HEADER) is not None
--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -28,6 +28,7 @@
     filter_response_headers,
     has_target_signature,
     is_not_run_response,
+    is_of_expected_target,
     parse_load,
 )
 from baobabring.program.entry._failure_counts import FailureCounts
@@ -117,7 +118,7 @@
         load = parse_load(response)
         if load is not None:
             assignment.record.record_load(load, now_s)
-        if has_target_signature(response) or is_not_run_response(response):
+        if is_of_expected_target(response):
             target = assignment.record.target
             self.limit_observer.observe(target, response, LimitSource.CALL, sent_at_s)
         return self._read_response(call, assignment, response, now_s - sent_at_s)
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -11,7 +11,7 @@
     HttpConnection,
     HttpResponse,
 )
-from baobabring.entry import HealthReport, LimitSource, TargetRecord
+from baobabring.entry import HealthReport, LimitSource, TargetRanker, TargetRecord
 from baobabring.platform.wire import (
     CALL_ID_HEADER,
     build_health_request,
@@ -43,8 +43,13 @@
     """Probe the health and load of several targets at once."""
 
     def __init__(
-        self, pool: ConnectionPool, limit_observer: LimitObserver, clock: Clock
+        self,
+        ranker: TargetRanker,
+        pool: ConnectionPool,
+        limit_observer: LimitObserver,
+        clock: Clock,
     ) -> None:
+        self.ranker = ranker
         self.pool = pool
         self.limit_observer = limit_observer
         self.clock = clock
@@ -109,6 +114,8 @@
         self, record: TargetRecord, health_path: str
     ) -> ProbeResponse | None:
         target = record.target
+        if self.ranker.rate_limiter.is_limited(target):
+            return await self._connect_only(record)
         request = build_health_request(health_path, target.address)
         probed_at_s = self.clock.now_s()
         PROBES.inc()
@@ -134,6 +141,18 @@
         self.limit_observer.observe(target, response, LimitSource.PROBE, probed_at_s)
         return ProbeResponse(report, target.address, connection)
 
+    async def _connect_only(self, record: TargetRecord) -> ProbeResponse | None:
+        """Open a connection to a target that may not be probed, to prove it alive."""
+        address = record.target.address
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                connection = await self.pool.open(address)
+        except (TimeoutError, ConnectError):
+            record.mark_unreachable(self.clock.now_s())
+            return None
+        report = self.ranker.assume_report(record, self.clock.now_s())
+        return ProbeResponse(report, address, connection)
+
     async def _exchange(
         self, address: str, request: bytes
     ) -> tuple[HttpConnection, HttpResponse]:
--- a/packages/baobabring/baobabring/program/entry/_target_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_target_chooser.py
@@ -41,7 +41,7 @@
         self.admission = admission
         self.probe_budget = probe_budget
         self.clock = clock
-        self.prober = Prober(pool, limit_observer, clock)
+        self.prober = Prober(ranker, pool, limit_observer, clock)
         self.wait_queue = WaitQueue(ranker, admission, self.prober, probe_budget, clock)
 
     async def choose(self, progress: CallProgress) -> Assignment | RefuseCall:
@@ -116,7 +116,7 @@
             )
             if isinstance(decision, SendCall):
                 target_id = decision.target_id
-                return assign(target_id, progress.offers, responses, self.ranker)
+                return assign(target_id, progress.offers, responses, self.ranker, now_s)
             if isinstance(decision, RefuseCall) or not can_probe_others:
                 return decision
         return ProbeAgain(now_s)
--- a/packages/baobabring/baobabring/program/entry/_wait_queue.py
+++ b/packages/baobabring/baobabring/program/entry/_wait_queue.py
@@ -39,9 +39,10 @@
     offers: Sequence[Offer],
     responses: dict[str, ProbeResponse],
     ranker: TargetRanker,
+    now_s: float,
 ) -> Assignment:
     """Return the assignment to a target and remove its response from `responses`."""
-    ranker.record_call_assigned(target_id)
+    ranker.record_call_assigned(target_id, now_s)
     offer = next(offer for offer in offers if offer.target_id == target_id)
     return Assignment(
         ranker.target_table.get_record(target_id), responses.pop(target_id), offer
@@ -163,7 +164,7 @@
             return
         if isinstance(decision, SendCall):
             target_id = decision.target_id
-            assigned = assign(target_id, offers, responses, self.ranker)
+            assigned = assign(target_id, offers, responses, self.ranker, now_s)
             waiter.decision.set_result(assigned)
             return
         waiter.decision.set_result(decision)
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
@@ -84,3 +84,35 @@
     statuses = await send_load(fleet, path, 8.0)
     assert most_requests(limited, named_at_s) <= allowed_requests(1.5)
     assert statuses.count(200) >= 0.98 * len(statuses)
+
+
+# Guards against limits that outlive their announcement at some instances.
+async def test_all_instances_use_targets_again_soon_after_their_limits_ended(fleet):
+    limited = [t for t in fleet.targets if t.service_id == "menuboard"]
+    for target in limited:
+        target.limit = "1"
+    await send_load(fleet, "/menu/1", 3.0)
+    for target in limited:
+        target.limit = None
+    await send_load(fleet, "/menu/1", 5.0)
+    statuses = await send_load(fleet, "/menu/1", 1.0)
+    assert set(statuses) == {200}
+    for instance in fleet.instances:
+        lines = instance.read_log_lines("target limit changed")
+        for target in limited:
+            rates = [x["per_s"] for x in lines if x["target"] == target.target_id]
+            assert rates == [1.0, None]
+
+
+# Guards against values that stop a process or lift the limit.
+async def test_malformed_limits_change_nothing(fleet):
+    limited = fleet.targets[0]
+    limited.limit = "2"
+    await send_load(fleet, "/menu/1", 1.0)
+    named_at_s = time.time()
+    for value in ("", "nan", "-1", "inf", "1e9", "9" * 400, "Fri, 04 Dec 2026"):
+        limited.limit = value
+        await send_load(fleet, "/menu/1", 0.7)
+    assert most_requests(limited, named_at_s) <= allowed_requests(2.0)
+    for instance in fleet.instances:
+        assert instance.is_running
