Refuse calls at once that the limits of all targets leave no room

Callers saw: while every target of a service names a limit and no permit is free, a call waited for an eighth of its latency goal and was then refused as overload, with a time to come back that knew nothing of the limits. Change: it is refused on arrival as rate-limited unless a permit comes within that wait, and told to return when this instance's next permit is due, capped as other refusals. Process test: four targets of 1 a second each; half of the refusals take under 20 ms, and at least 0.8 of the limits are served.

--- a/packages/baobabring/baobabring/entry/_admission.py
+++ b/packages/baobabring/baobabring/entry/_admission.py
@@ -10,6 +10,7 @@
 # Maximum wait at this instance as a share of the latency goal. A caller that
 # would wait longer is better served by a retry.
 MAX_WAIT_SHARE_OF_GOAL = 0.125
+MS_PER_S = 1_000
 PROBE_RETRY_DELAY_S = 0.012
 MIN_RETRY_AFTER_S = 0.03
 # Retry time while targets have free slots, so that the goal can still be met.
@@ -101,6 +102,18 @@
         after_s = max(after_s, MIN_RETRY_AFTER_S)
         return RefuseCall(now_s + after_s, reason)
 
+    def refuse_limited(
+        self, call: EntryCall, permit_at_s: float, now_s: float
+    ) -> RefuseCall | None:
+        """Return the refusal of a call that the limits of targets leave no room.
+
+        Return None if the call can wait for the next permit, at `permit_at_s`.
+        """
+        if permit_at_s <= max(now_s, self._wait_until_s(call)):
+            return None
+        after_ms = (permit_at_s - now_s) * MS_PER_S
+        return self.refuse(call, after_ms, "rate-limited", now_s)
+
     def refuse_after_target(
         self, call: EntryCall, offer: Offer, now_s: float
     ) -> RefuseCall:
--- a/packages/baobabring/baobabring/entry/_outcomes.py
+++ b/packages/baobabring/baobabring/entry/_outcomes.py
@@ -17,6 +17,7 @@
     OVERLOAD = "overload"
     TOO_LATE = "too-late"
     TARGETS_REFUSED = "targets-refused"
+    RATE_LIMITED = "rate-limited"
     CONNECTION_LOST = "connection-lost"
     BAD_ANSWER = "bad-answer"
     TIMEOUT = "timeout"
--- a/packages/baobabring/baobabring/entry/tests/test_admission.py
+++ b/packages/baobabring/baobabring/entry/tests/test_admission.py
@@ -122,3 +122,22 @@
     assert isinstance(
         admission.decide(call, [build_offer(finish_ms=900.0)], False, 0.0), SendCall
     )
+
+
+def test_call_that_limits_leave_no_room_for_is_refused_at_once(admission):
+    refusal = admission.refuse_limited(build_call(), 0.4, 0.0)
+    assert refusal.reason == "rate-limited"
+    assert 0.2 <= refusal.retry_at_s <= 0.6
+
+
+def test_call_waits_for_a_permit_that_comes_soon(admission):
+    assert admission.refuse_limited(build_call(), 0.07, 0.0) is None
+
+
+def test_second_attempt_is_not_refused_for_limits_that_do_not_bind(admission):
+    assert admission.refuse_limited(build_call(), 0.5, 0.5) is None
+
+
+def test_call_at_an_instance_without_permits_is_told_to_come_back(admission):
+    refusal = admission.refuse_limited(build_call(), float("inf"), 0.0)
+    assert 0.0 < refusal.retry_at_s <= 0.45
--- a/packages/baobabring/baobabring/program/entry/_target_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_target_chooser.py
@@ -51,6 +51,12 @@
         if now_s + MIN_TIME_LEFT_S >= call.deadline_s:
             return RefuseCall(now_s, CallProblem.TIMEOUT)
         excluded_targets = frozenset(progress.tried_targets)
+        permit_at_s = self.ranker.next_permit_at_s(
+            call.service_id, excluded_targets, now_s
+        )
+        refusal = self.admission.refuse_limited(call, permit_at_s, now_s)
+        if refusal is not None:
+            return refusal
         if not self.wait_queue.has_calls_ahead_of(call):
             decision = await self._probe_and_decide(progress, excluded_targets)
             if not isinstance(decision, ProbeAgain):
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
@@ -104,6 +104,29 @@
             assert rates == [1.0, None]
 
 
+# Guards against callers that wait for targets whose limits leave them no room.
+async def test_calls_beyond_the_limits_of_all_targets_are_refused_at_once(fleet):
+    limited = [t for t in fleet.targets if t.service_id == "feedesk"]
+    await send_load(fleet, "/fees/1", 0.5)
+    for target in limited:
+        target.limit = "1"
+    named_at_s = time.time()
+    statuses = await send_load(fleet, "/fees/1", 8.0)
+    for target in limited:
+        assert most_requests(target, named_at_s) <= allowed_requests(1.0)
+    assert set(statuses) == {200, 503}
+    served = statuses.count(200) / 8.0
+    assert 0.8 * len(limited) <= served <= 1.2 * len(limited)
+    lines = [
+        line
+        for instance in fleet.instances
+        for line in instance.read_log_lines("call ended")
+        if line["outcome"] == "not-run:rate-limited"
+    ]
+    took_ms = sorted(line["took_ms"] for line in lines)
+    assert took_ms[len(took_ms) // 2] < 20.0
+
+
 # Guards against values that stop a process or lift the limit.
 async def test_malformed_limits_change_nothing(fleet):
     limited = fleet.targets[0]
