Ask a target by a probe whether a limit that no call confirms still holds

Found by test_all_instances_use_targets_again_soon_after_their_limits_ended, which failed once on beside the whole test suite: when the limits of four targets ended, calls went to the first three that were known to be free, and the fourth kept its limit until it expired after 30 s. An unreadable announcement confirms that there still is a limit, else it would be asked again and again (24 to 33 requests of 17 allowed in the test of malformed values, before that).

--- a/packages/baobabring/baobabring/entry/_target_limits.py
+++ b/packages/baobabring/baobabring/entry/_target_limits.py
@@ -14,6 +14,8 @@
 # Unchanged limits are reported to peers again after this time, so that an instance that
 # may not use the target keeps them.
 CONFIRMATION_INTERVAL_S = 10.0
+# A limit that was not confirmed for this long may be asked for with a probe.
+RECHECK_AGE_S = 2.0
 
 
 class LimitSource(StrEnum):
@@ -72,9 +74,9 @@
     """Maintain the limits that targets announce, for as long as they announce them.
 
     A limit belongs to one start of a target, and holds whether the target is registered
-    or not. An unreadable announcement neither sets nor lifts a limit. What is heard is
-    passed on to peers, since instances that may not use a target would not learn that
-    its limit has ended.
+    or not. An unreadable announcement sets none, but keeps the one before. What is heard
+    is passed on to peers, since instances that may not use a target would not learn
+    that its limit has ended.
     """
 
     def __init__(self) -> None:
@@ -95,6 +97,13 @@
         limit = self._known(target.target_id, target.started_at_ms)
         return limit.requests_per_s if limit is not None else None
 
+    def is_recheck_due(self, target: EntryTarget, now_s: float) -> bool:
+        """Return whether a probe should find out whether a limit still holds."""
+        limit = self._known(target.target_id, target.started_at_ms)
+        if limit is None or LimitSource.PROBE not in limit.named_in:
+            return False
+        return now_s - limit.heard_at_s > RECHECK_AGE_S
+
     def record(
         self,
         target: EntryTarget,
@@ -107,25 +116,19 @@
 
         `sent_at_s` is the time at which the request was sent.
         """
-        known = self._known(target.target_id, target.started_at_ms)
-        named_in = known.named_in if known is not None else set()
-        if isinstance(announcement, LimitNamed):
-            per_s = announcement.requests_per_s
-            named_in = named_in | {source}
-        elif (
-            isinstance(announcement, LimitAbsent)
-            and target.target_id in self
-            # Only a response of a kind that named the limit shows that it has ended.
-            and source in named_in
-            # The response to an earlier request can be older than the announcement.
-            and sent_at_s >= known.heard_at_s
-        ):
-            per_s = None
-        else:
-            return None
-        heard = TargetLimit(
-            target.target_id, target.started_at_ms, per_s, now_s, named_in
-        )
+        known_per_s = self.requests_per_s(target)
+        heard = TargetLimit(target.target_id, target.started_at_ms, None, now_s)
+        match announcement:
+            case LimitNamed(requests_per_s):
+                heard.requests_per_s = requests_per_s
+                heard.named_in = {source}
+            case LimitUnreadable() if known_per_s is not None:
+                # The target still has a limit, whichever it is.
+                heard.requests_per_s = known_per_s
+            case LimitAbsent() if self._has_ended(target, source, sent_at_s):
+                pass
+            case _:
+                return None
         return self._replace(heard, now_s, report=True)
 
     def apply_notice(
@@ -189,11 +192,26 @@
             return None
         return limit
 
+    def _has_ended(
+        self, target: EntryTarget, source: LimitSource, sent_at_s: float
+    ) -> bool:
+        """Return whether a response that names no limit shows that one has ended.
+
+        Only a response of a kind that named it does, and none to an earlier request,
+        which can be older than the announcement.
+        """
+        limit = self._known(target.target_id, target.started_at_ms)
+        if limit is None or limit.requests_per_s is None:
+            return False
+        return source in limit.named_in and sent_at_s >= limit.heard_at_s
+
     def _replace(
         self, heard: TargetLimit, now_s: float, report: bool
     ) -> LimitChange | None:
         known = self._known(heard.target_id, heard.started_at_ms)
         before_per_s = known.requests_per_s if known is not None else None
+        if known is not None:
+            heard.named_in |= known.named_in
         is_change = before_per_s != heard.requests_per_s
         self._limits[heard.target_id] = heard
         if not report:
--- a/packages/baobabring/baobabring/entry/_target_rate_limiter.py
+++ b/packages/baobabring/baobabring/entry/_target_rate_limiter.py
@@ -35,7 +35,7 @@
     """Divide the limits of targets among the instances, as permits for single calls.
 
     The calls of all instances stay within the limit. Targets without a limit need no
-    permit, and targets with one get no probes, which would use up the limit.
+    permit. Those with one get hardly any probes, which would use up the limit.
     """
 
     def __init__(self, limits: TargetLimits, shares: FleetShares) -> None:
@@ -47,6 +47,12 @@
         """Return whether a target has a limit."""
         return self.limits.requests_per_s(target) is not None
 
+    def can_probe(self, target: EntryTarget, now_s: float) -> bool:
+        """Return whether a target may be probed, rather than only connected to."""
+        if not self.is_limited(target):
+            return True
+        return self.limits.is_recheck_due(target, now_s)
+
     def can_connect(self, target: EntryTarget, now_s: float) -> bool:
         """Return whether a connection to a target may be opened for a call now."""
         return self.next_connect_at_s(target, now_s) <= now_s
--- a/packages/baobabring/baobabring/entry/tests/test_target_limits.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_limits.py
@@ -49,11 +49,18 @@
     assert limits.requests_per_s(TARGET) == 4.0
 
 
-def test_unreadable_announcement_leaves_the_limit(limits):
-    assert limits.record(TARGET, LimitUnreadable("nan"), PROBE, 10.0, 10.1) is None
+def test_unreadable_announcement_keeps_the_limit(limits):
+    assert limits.record(TARGET, LimitUnreadable("nan"), PROBE, 39.0, 39.1) is None
+    assert limits.expire(60.0) == []
     assert limits.requests_per_s(TARGET) == 4.0
 
 
+def test_unreadable_announcement_sets_no_limit():
+    limits = TargetLimits()
+    assert limits.record(TARGET, LimitUnreadable("nan"), PROBE, 10.0, 10.1) is None
+    assert limits.requests_per_s(TARGET) is None
+
+
 def test_limit_of_an_earlier_start_does_not_hold(limits):
     restarted = build_target(started_at_ms=2_000)
     assert limits.requests_per_s(restarted) is None
@@ -102,6 +109,17 @@
     assert limits.requests_per_s(TARGET) == 4.0
 
 
+def test_probe_finds_out_whether_a_limit_that_no_call_confirms_still_holds(limits):
+    assert not limits.is_recheck_due(TARGET, 11.9)
+    assert limits.is_recheck_due(TARGET, 12.1)
+
+
+def test_limit_that_no_probe_has_named_is_not_probed_for():
+    limits = TargetLimits()
+    limits.record(TARGET, LimitNamed(4.0), CALL, 9.9, 10.0)
+    assert not limits.is_recheck_due(TARGET, 20.0)
+
+
 def test_unchanged_limit_is_reported_seldom(limits):
     assert len(limits.pop_notices(10.0)) == 1
     reported = 0
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -114,10 +114,10 @@
         self, record: TargetRecord, health_path: str
     ) -> ProbeResponse | None:
         target = record.target
-        if self.ranker.rate_limiter.is_limited(target):
+        probed_at_s = self.clock.now_s()
+        if not self.ranker.rate_limiter.can_probe(target, probed_at_s):
             return await self._connect_only(record)
         request = build_health_request(health_path, target.address)
-        probed_at_s = self.clock.now_s()
         PROBES.inc()
         self.limit_observer.count_probe(target)
         try:
