--- a/packages/baobabring/baobabring/entry/_target_limits.py
+++ b/packages/baobabring/baobabring/entry/_target_limits.py
@@ -74,9 +74,9 @@
     """Maintain the limits that targets announce, for as long as they announce them.
 
     A limit belongs to one start of a target, and holds whether the target is registered
-    or not. An unreadable announcement sets none, but keeps the one before. What is heard
-    is passed on to peers, since instances that may not use a target would not learn
-    that its limit has ended.
+    or not. An unreadable announcement sets none, but keeps the one before. What is
+    heard is passed on to peers, since instances that may not use a target would not
+    learn that its limit has ended.
     """
 
     def __init__(self) -> None:
