Leave targets alone for the time that they state with a refusal

Callers would have seen: nothing; a target that refused with Retry-After went on getting probes and calls (test_target_that_refuses_is_left_alone_for_the_time_it_states failed before, with no pause logged and requests all the time). Cause: the header of a target's 503 was read nowhere. Change: it is decoded at the border for responses to calls and to probes, and kept for this start of the target, whether it is registered or not. If all targets of a service are closed, callers are refused at once and told when the first opens. Malformed values change nothing.

--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -53,6 +53,7 @@
 from baobabring.entry._routes import RouteTable, WeightedRoundRobin
 from baobabring.entry._settings import EntrySettings, FleetLimits
 from baobabring.entry._shared_view import FleetStatus, SharedView
+from baobabring.entry._target_gate import TargetGate
 from baobabring.entry._target_limits import (
     LIMIT_LIFETIME_S,
     LimitAbsent,
@@ -64,6 +65,7 @@
     TargetLimit,
     TargetLimits,
 )
+from baobabring.entry._target_pauses import TargetPauses
 from baobabring.entry._target_ranker import Offer, RankerSettings, TargetRanker
 from baobabring.entry._target_rate_limiter import TargetRateLimiter
 from baobabring.entry._target_table import HealthReport, TargetRecord, TargetTable
@@ -130,10 +132,12 @@
     "SendCall",
     "SharedView",
     "TargetResponse",
+    "TargetGate",
     "TargetLimit",
     "TargetLimitNotices",
     "TargetLimits",
     "TargetTable",
+    "TargetPauses",
     "TargetRanker",
     "TargetRateLimiter",
     "TargetRecord",
--- a/packages/baobabring/baobabring/entry/_admission.py
+++ b/packages/baobabring/baobabring/entry/_admission.py
@@ -103,16 +103,17 @@
         return RefuseCall(now_s + after_s, reason)
 
     def refuse_limited(
-        self, call: EntryCall, permit_at_s: float, now_s: float
+        self, call: EntryCall, opening_at_s: float, now_s: float
     ) -> RefuseCall | None:
-        """Return the refusal of a call that the limits of targets leave no room.
+        """Return the refusal of a call that all targets are closed for by their word.
 
-        Return None if the call can wait for the next permit, at `permit_at_s`.
+        Return None if the call can wait until one of them takes calls, at
+        `opening_at_s`.
         """
-        if permit_at_s <= max(now_s, self._wait_until_s(call)):
+        if opening_at_s <= max(now_s, self._wait_until_s(call)):
             return None
-        after_ms = (permit_at_s - now_s) * MS_PER_S
-        return self.refuse(call, after_ms, "rate-limited", now_s)
+        after_ms = (opening_at_s - now_s) * MS_PER_S
+        return self.refuse(call, after_ms, "targets-limited", now_s)
 
     def refuse_after_target(
         self, call: EntryCall, offer: Offer, now_s: float
--- a/packages/baobabring/baobabring/entry/_outcomes.py
+++ b/packages/baobabring/baobabring/entry/_outcomes.py
@@ -17,7 +17,7 @@
     OVERLOAD = "overload"
     TOO_LATE = "too-late"
     TARGETS_REFUSED = "targets-refused"
-    RATE_LIMITED = "rate-limited"
+    TARGETS_LIMITED = "targets-limited"
     CONNECTION_LOST = "connection-lost"
     BAD_ANSWER = "bad-answer"
     TIMEOUT = "timeout"
--- a/packages/baobabring/baobabring/entry/_target_limits.py
+++ b/packages/baobabring/baobabring/entry/_target_limits.py
@@ -84,6 +84,9 @@
         self._unreported: set[str] = set()
         self._reported_at_s: dict[str, float] = {}
 
+    def __bool__(self) -> bool:
+        return bool(self._limits)
+
     def __contains__(self, target_id: str) -> bool:
         limit = self._limits.get(target_id)
         return limit is not None and limit.requests_per_s is not None
--- a/packages/baobabring/baobabring/entry/_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/_target_ranker.py
@@ -6,8 +6,12 @@
 
 from baobabring.entry._cold_start_limiter import ColdStartLimiter
 from baobabring.entry._estimates import WorkEstimates
-from baobabring.entry._model import EntryCall, EntryConfiguration, LoadReport
-from baobabring.entry._target_rate_limiter import TargetRateLimiter
+from baobabring.entry._model import (
+    EntryCall,
+    EntryConfiguration,
+    LoadReport,
+)
+from baobabring.entry._target_gate import TargetGate
 from baobabring.entry._target_table import HealthReport, TargetRecord, TargetTable
 
 # A target's speed changes within about this time, which makes older reports useless.
@@ -70,7 +74,7 @@
         target_table: TargetTable,
         estimates: WorkEstimates,
         cold_start_limiter: ColdStartLimiter,
-        rate_limiter: TargetRateLimiter,
+        gate: TargetGate,
         rng: Random,
     ) -> None:
         self.zone = zone
@@ -78,7 +82,7 @@
         self.target_table = target_table
         self.estimates = estimates
         self.cold_start_limiter = cold_start_limiter
-        self.rate_limiter = rate_limiter
+        self.gate = gate
         self.rng = rng
         self.configuration = EntryConfiguration()
         self.instance_count = 1
@@ -96,29 +100,29 @@
             for record in self.target_table.usable_targets(service_id)
             if record.target.target_id not in excluded_targets
             and self._can_send_to(record, now_s)
-            and self.rate_limiter.can_connect(record.target, now_s)
         ]
+        candidates = self.gate.keep_open(candidates, now_s)
         reachable = [r for r in candidates if r.unreachable_until_s <= now_s]
         ranked = sorted(
             reachable or candidates, key=lambda record: self._rank(record, now_s)
         )
-        ranked = self._keep_one_limited(ranked)
+        ranked = self.gate.keep_one_limited(ranked)
         return ranked[: count or self.settings.probed_targets]
 
-    def next_permit_at_s(
+    def next_opening_at_s(
         self, service_id: str, excluded_targets: Collection[str], now_s: float
     ) -> float:
-        """Return when the limits of targets allow the next call to a service.
+        """Return when the targets of a service allow the next call, by what they say.
 
-        That is now if any target has no limit or if none is known, and infinity if this
-        instance gets no permits.
+        That is now if any target has neither a limit nor a pause or if none is known,
+        and infinity if this instance gets no permits.
         """
-        times_s = [
-            self.rate_limiter.next_connect_at_s(record.target, now_s)
+        records = (
+            record
             for record in self.target_table.usable_targets(service_id)
             if record.target.target_id not in excluded_targets
-        ]
-        return max(now_s, min(times_s, default=now_s))
+        )
+        return self.gate.next_opening_at_s(records, now_s)
 
     def take_probes(
         self,
@@ -130,7 +134,7 @@
         """Return the targets to probe, and record connections to limited ones."""
         records = self.targets_to_probe(service_id, excluded_targets, now_s, count)
         for record in records:
-            self.rate_limiter.record_connect(record.target, now_s)
+            self.gate.rate_limiter.record_connect(record.target, now_s)
         return records
 
     def assume_report(self, record: TargetRecord, now_s: float) -> HealthReport:
@@ -150,7 +154,7 @@
             record = self.target_table.get_record(report.target_id)
             if record is None or not self.target_table.is_eligible(report.target_id):
                 continue
-            can_call = self.rate_limiter.can_call(record.target, now_s)
+            can_call = self.gate.can_call(record.target, now_s)
             if can_call and self._can_send_to(record, now_s):
                 offers.append(self._offer(call, record, report, now_s))
         return sorted(offers, key=lambda offer: offer.cost_ms)
@@ -159,7 +163,7 @@
         """Use a permit for a call that is assigned to a target with a limit."""
         record = self.target_table.get_record(target_id)
         if record is not None:
-            self.rate_limiter.record_call(record.target, now_s)
+            self.gate.rate_limiter.record_call(record.target, now_s)
 
     def record_call_sent(self, target_id: str, now_s: float) -> None:
         """Count a call that is sent to a target."""
@@ -251,15 +255,6 @@
             record.target.target_id, limit_per_s, now_s
         )
 
-    def _keep_one_limited(self, records: list[TargetRecord]) -> list[TargetRecord]:
-        """Return the records without all but the first that have a limit.
-
-        Only one target gets the call, and connections to the others would be unused.
-        """
-        limited = [r for r in records if self.rate_limiter.is_limited(r.target)]
-        surplus = {record.target.target_id for record in limited[1:]}
-        return [r for r in records if r.target.target_id not in surplus]
-
     def _cold_calls_per_s(self, record: TargetRecord) -> float:
         service = self.configuration.services.get(record.target.service_id)
         return service.cold_calls_per_s if service is not None else 1.0
--- a/packages/baobabring/baobabring/entry/_target_rate_limiter.py
+++ b/packages/baobabring/baobabring/entry/_target_rate_limiter.py
@@ -43,6 +43,11 @@
         self.shares = shares
         self._permits: dict[str, _Permits] = {}
 
+    @property
+    def has_limits(self) -> bool:
+        """Return whether any target may have a limit."""
+        return bool(self.limits)
+
     def is_limited(self, target: EntryTarget) -> bool:
         """Return whether a target has a limit."""
         return self.limits.requests_per_s(target) is not None
@@ -53,13 +58,9 @@
             return True
         return self.limits.is_recheck_due(target, now_s)
 
-    def can_connect(self, target: EntryTarget, now_s: float) -> bool:
-        """Return whether a connection to a target may be opened for a call now."""
-        return self.next_connect_at_s(target, now_s) <= now_s
-
     def next_connect_at_s(self, target: EntryTarget, now_s: float) -> float:
         """Return when a connection may be opened, infinity without any permits."""
-        permit_at_s = self._permit_at_s(target, now_s)
+        permit_at_s = self.next_call_at_s(target, now_s)
         permits = self._permits.get(target.target_id)
         if permits is None or not self.is_limited(target):
             return permit_at_s
@@ -71,9 +72,21 @@
         if permits is not None:
             permits.connected_at_s = now_s
 
-    def can_call(self, target: EntryTarget, now_s: float) -> bool:
-        """Return whether a call may be sent to a target now."""
-        return self._permit_at_s(target, now_s) <= now_s
+    def next_call_at_s(self, target: EntryTarget, now_s: float) -> float:
+        """Return when this instance may send a call, infinity if it gets no permits."""
+        limit_per_s = self.limits.requests_per_s(target)
+        if limit_per_s is None:
+            return now_s
+        share = self._share(target, limit_per_s)
+        if share is None:
+            return float("inf")
+        permits = self._permits.get(target.target_id)
+        if permits is None or permits.started_at_ms != target.started_at_ms:
+            # The first permits of the instances are spread over an interval.
+            first_at_s = now_s + share.first_after_s
+            permits = _Permits(target.started_at_ms, first_at_s - share.interval_s)
+            self._permits[target.target_id] = permits
+        return permits.used_at_s + share.interval_s
 
     def record_call(self, target: EntryTarget, now_s: float) -> None:
         """Use a permit for a call that is sent to a target."""
@@ -90,22 +103,6 @@
         for target_id in ended:
             del self._permits[target_id]
 
-    def _permit_at_s(self, target: EntryTarget, now_s: float) -> float:
-        """Return the time of this instance's next permit, infinity if it gets none."""
-        limit_per_s = self.limits.requests_per_s(target)
-        if limit_per_s is None:
-            return now_s
-        share = self._share(target, limit_per_s)
-        if share is None:
-            return float("inf")
-        permits = self._permits.get(target.target_id)
-        if permits is None or permits.started_at_ms != target.started_at_ms:
-            # The first permits of the instances are spread over an interval.
-            first_at_s = now_s + share.first_after_s
-            permits = _Permits(target.started_at_ms, first_at_s - share.interval_s)
-            self._permits[target.target_id] = permits
-        return permits.used_at_s + share.interval_s
-
     def _share(self, target: EntryTarget, limit_per_s: float) -> _Share | None:
         """Return this instance's part of a limit, None if it has none."""
         if limit_per_s <= 0:
--- a/packages/baobabring/baobabring/entry/tests/test_admission.py
+++ b/packages/baobabring/baobabring/entry/tests/test_admission.py
@@ -126,7 +126,7 @@
 
 def test_call_that_limits_leave_no_room_for_is_refused_at_once(admission):
     refusal = admission.refuse_limited(build_call(), 0.4, 0.0)
-    assert refusal.reason == "rate-limited"
+    assert refusal.reason == "targets-limited"
     assert 0.2 <= refusal.retry_at_s <= 0.6
 
 
--- a/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
@@ -10,7 +10,9 @@
     LimitNamed,
     LimitSource,
     RankerSettings,
+    TargetGate,
     TargetLimits,
+    TargetPauses,
     TargetRanker,
     TargetRateLimiter,
     TargetTable,
@@ -36,7 +38,7 @@
         target_table,
         WorkEstimates(),
         ColdStartLimiter(shares),
-        TargetRateLimiter(TargetLimits(), shares),
+        TargetGate(TargetRateLimiter(TargetLimits(), shares), TargetPauses(Random(1))),
         Random(1),
     )
     ranker.configuration = build_configuration()
@@ -207,7 +209,7 @@
     for number in numbers:
         target = ranker.target_table.get_record(f"t-{number}").target
         announcement = LimitNamed(per_s)
-        limits = ranker.rate_limiter.limits
+        limits = ranker.gate.rate_limiter.limits
         limits.record(target, announcement, LimitSource.PROBE, 0.0, 0.0)
 
 
@@ -233,7 +235,7 @@
 
 def test_next_permit_counts_only_while_all_targets_are_limited(ranker):
     limit_targets(ranker, 0.1, range(1, 6))
-    assert ranker.next_permit_at_s(SERVICE, (), 1.0) == 1.0
-    assert ranker.next_permit_at_s(SERVICE, {"t-6"}, 1.0) > 5.0
+    assert ranker.next_opening_at_s(SERVICE, (), 1.0) == 1.0
+    assert ranker.next_opening_at_s(SERVICE, {"t-6"}, 1.0) > 5.0
     limit_targets(ranker, 0.1, [6])
-    assert ranker.next_permit_at_s(SERVICE, (), 1.0) > 5.0
+    assert ranker.next_opening_at_s(SERVICE, (), 1.0) > 5.0
--- a/packages/baobabring/baobabring/entry/tests/test_target_rate_limiter.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_rate_limiter.py
@@ -50,7 +50,7 @@
         limiter = limiters[number]
         now_s = max(at_s, from_s)
         limiter.record_connect(TARGET, now_s)
-        assert limiter.can_call(TARGET, now_s)
+        assert limiter.next_call_at_s(TARGET, now_s) <= now_s
         limiter.record_call(TARGET, now_s)
         sent_at_s.append(now_s)
         heapq.heappush(due, (limiter.next_connect_at_s(TARGET, now_s), number))
@@ -116,27 +116,27 @@
     # Several probes can be under way when the first response names the limit.
     (limiter,) = build_fleet(1)
     name_limit([limiter], 1.0)
-    assert not limiter.can_call(TARGET, 0.0)
+    assert limiter.next_call_at_s(TARGET, 0.0) > 0.0
 
 
 def test_unused_permit_stays_but_connections_for_it_are_spread():
     (limiter,) = build_fleet(1)
     name_limit([limiter], 1.0)
-    assert not limiter.can_connect(TARGET, 0.0)
+    assert limiter.next_connect_at_s(TARGET, 0.0) > 0.0
     connected_at_s = []
     for step in range(1_000, 1_200):
-        if limiter.can_connect(TARGET, step / 100):
+        if limiter.next_connect_at_s(TARGET, step / 100) <= step / 100:
             limiter.record_connect(TARGET, step / 100)
             connected_at_s.append(step / 100)
     assert len(connected_at_s) == 8
-    assert limiter.can_call(TARGET, 12.0)
+    assert limiter.next_call_at_s(TARGET, 12.0) <= 12.0
     limiter.record_call(TARGET, 12.0)
-    assert not limiter.can_call(TARGET, 12.5)
+    assert limiter.next_call_at_s(TARGET, 12.5) > 12.5
 
 
 def test_target_without_limit_needs_no_permit():
     (limiter,) = build_fleet(1)
     name_limit([limiter], 1.0)
     limiter.limits.record(TARGET, LimitAbsent(), PROBE, 0.1, 0.2)
-    assert limiter.can_connect(TARGET, 0.2)
-    assert limiter.can_call(TARGET, 0.2)
+    assert limiter.next_connect_at_s(TARGET, 0.2) == 0.2
+    assert limiter.next_call_at_s(TARGET, 0.2) == 0.2
--- a/packages/baobabring/baobabring/platform/tests/test_wire.py
+++ b/packages/baobabring/baobabring/platform/tests/test_wire.py
@@ -163,3 +163,33 @@
 def test_limit_is_not_forwarded_to_callers():
     response = build_response(server_limit="3", x_other="a")
     assert wire.filter_response_headers(response) == [(b"x-other", b"a")]
+
+
+@pytest.mark.parametrize(
+    "value,wait_s",
+    [
+        ("2", 2.0),
+        ("0.25", 0.25),
+        ("1, 3", 3.0),
+        ("", None),
+        ("-1", None),
+        ("nan", None),
+        ("inf", None),
+        ("Fri, 04 Dec 2026 10:00:00 GMT", None),
+        ("9" * 40, None),
+    ],
+)
+def test_wait_time_of_a_refusal_is_a_plain_decimal_number(value, wait_s):
+    response = build_response(503, retry_after=value)
+    assert wire.parse_retry_after_s(response) == wait_s
+
+
+def test_wait_time_counts_only_in_refusals():
+    assert wire.parse_retry_after_s(build_response(200, retry_after="2")) is None
+
+
+def test_response_with_another_id_is_of_another_target():
+    response = build_response(x_baobabring_instance_id="t-2")
+    assert wire.is_of_other_target(response, "t-1")
+    assert not wire.is_of_other_target(response, "t-2")
+    assert not wire.is_of_other_target(build_response(503), "t-1")
--- a/packages/baobabring/baobabring/platform/wire.py
+++ b/packages/baobabring/baobabring/platform/wire.py
@@ -30,14 +30,17 @@
 # Requests a second that the target takes from all instances together.
 LIMIT_HEADER = b"server-limit"
 
+RETRY_AFTER_HEADER = b"retry-after"
+
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 NORMAL_SPEED_PERCENT = 100.0
 MIN_LOAD_FIELDS = 3
 MAX_LOGGED_VALUE_CHARS = 60
 
-# A rate as a plain decimal number; none that is valid needs more digits.
-_RATE_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+# A plain decimal number; no valid rate or time needs more digits.
+_DECIMAL_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 # Hop-by-hop headers, and headers that are replaced for the target.
 _DROPPED_REQUEST_HEADERS = frozenset(
@@ -67,6 +70,7 @@
 _KNOWN_RESPONSE_HEADERS = _DROPPED_RESPONSE_HEADERS | {
     CALL_ID_HEADER,
     SIGNATURE_HEADER,
+    RETRY_AFTER_HEADER,
     b"content-type",
     b"date",
     b"server",
@@ -161,21 +165,26 @@
 
     The lowest of several valid values counts.
     """
-    values = [
-        value.strip()
-        for name, joined in response.headers
-        if name == LIMIT_HEADER
-        for value in joined.split(b",")
-    ]
+    values = _get_values(response, LIMIT_HEADER)
     if not values:
         return LimitAbsent()
-    rates = [float(value) for value in values if _RATE_PATTERN.fullmatch(value)]
+    rates = _parse_decimals(values)
     if not rates:
         text = b",".join(values).decode("latin-1")
         return LimitUnreadable(text[:MAX_LOGGED_VALUE_CHARS])
     return LimitNamed(min(rates))
 
 
+def parse_retry_after_s(response: HttpResponse) -> float | None:
+    """Return how long a target that refuses wants no requests, None if unknown.
+
+    The longest of several valid times counts.
+    """
+    if response.status != STATUS_UNAVAILABLE:
+        return None
+    return max(_parse_decimals(_get_values(response, RETRY_AFTER_HEADER)), default=None)
+
+
 def unknown_header_names(response: HttpResponse) -> list[bytes]:
     """Return the names of a response's headers that have no meaning here."""
     return [name for name, _ in response.headers if name not in _KNOWN_RESPONSE_HEADERS]
@@ -191,6 +200,16 @@
     )
 
 
+def is_of_other_target(response: HttpResponse, target_id: str) -> bool:
+    """Return whether a response shows that another target has the address now."""
+    if response.status == STATUS_MISDIRECTED:
+        return True
+    responding_target_id = response.header(TARGET_ID_HEADER)
+    if responding_target_id is None:
+        return False
+    return responding_target_id.decode("latin-1") != target_id
+
+
 def is_of_expected_target(response: HttpResponse) -> bool:
     """Return whether the target to which a call was sent produced the response."""
     if response.status == STATUS_MISDIRECTED:
@@ -223,6 +242,21 @@
     )
 
 
+def _get_values(response: HttpResponse, header: bytes) -> list[bytes]:
+    """Return the values of a header that may be repeated or a list."""
+    return [
+        value.strip()
+        for name, joined in response.headers
+        if name == header
+        for value in joined.split(b",")
+    ]
+
+
+def _parse_decimals(values: list[bytes]) -> list[float]:
+    """Return the values that are plain decimal numbers."""
+    return [float(value) for value in values if _DECIMAL_PATTERN.fullmatch(value)]
+
+
 def _parse_positive_number(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -32,9 +32,9 @@
     parse_load,
 )
 from baobabring.program.entry._failure_counts import FailureCounts
-from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._metrics import ENTRY_ATTEMPTS, ENTRY_STREAMS
 from baobabring.program.entry._progress import CallProgress
+from baobabring.program.entry._target_observer import TargetObserver
 from baobabring.program.entry._wait_queue import Assignment
 from baobabring.utils import Clock
 
@@ -59,14 +59,14 @@
         self,
         ranker: TargetRanker,
         failure_counts: FailureCounts,
-        limit_observer: LimitObserver,
+        target_observer: TargetObserver,
         pool: ConnectionPool,
         body_memory: BodyMemory,
         clock: Clock,
     ) -> None:
         self.ranker = ranker
         self.failure_counts = failure_counts
-        self.limit_observer = limit_observer
+        self.target_observer = target_observer
         self.pool = pool
         self.body_memory = body_memory
         self.clock = clock
@@ -83,7 +83,7 @@
         progress.tried_targets.append(target.target_id)
         progress.sent = True
         self.ranker.record_call_sent(target.target_id, sent_at_s)
-        self.limit_observer.count_call(target)
+        self.target_observer.limit_observer.count_call(target)
         end: AttemptEnd = AttemptLost(CallProblem.CALLER_LEFT)
         try:
             end = await self._exchange(progress, assignment, request)
@@ -120,7 +120,7 @@
             assignment.record.record_load(load, now_s)
         if is_of_expected_target(response):
             target = assignment.record.target
-            self.limit_observer.observe(target, response, LimitSource.CALL, sent_at_s)
+            self.target_observer.observe(target, response, LimitSource.CALL, sent_at_s)
         return self._read_response(call, assignment, response, now_s - sent_at_s)
 
     def _read_response(
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -22,7 +22,9 @@
     RankerSettings,
     ReadSchedule,
     SharedView,
+    TargetGate,
     TargetLimits,
+    TargetPauses,
     TargetRanker,
     TargetRateLimiter,
     TargetTable,
@@ -49,6 +51,7 @@
 from baobabring.program.entry._server import HttpServer
 from baobabring.program.entry._settings_task import SettingsTask
 from baobabring.program.entry._target_chooser import TargetChooser
+from baobabring.program.entry._target_observer import TargetObserver
 from baobabring.program.entry._view_task import ViewTask
 from baobabring.utils import BoottimeClock
 
@@ -114,19 +117,21 @@
         self.cold_start_limiter = ColdStartLimiter(self.shares)
         target_limits = TargetLimits()
         self.rate_limiter = TargetRateLimiter(target_limits, self.shares)
+        self.pauses = TargetPauses(rng)
         self.ranker = TargetRanker(
             settings.zone,
             RankerSettings(),
             self.target_table,
             WorkEstimates(),
             self.cold_start_limiter,
-            self.rate_limiter,
+            TargetGate(self.rate_limiter, self.pauses),
             rng,
         )
         self.limit_observer = LimitObserver(target_limits, self.clock)
         self.limit_exchange = LimitExchange(
             self.limit_observer, self.peer_task, self.link, self.clock
         )
+        target_observer = TargetObserver(self.limit_observer, self.pauses, self.clock)
         self.retry_budget = FleetRetryBudget(settings.limits)
         self.pool = ConnectionPool()
         admission = Admission(rng)
@@ -137,14 +142,14 @@
                 self.ranker,
                 admission,
                 self.probe_budget,
-                self.limit_observer,
+                target_observer,
                 self.pool,
                 self.clock,
             ),
             AttemptRunner(
                 self.ranker,
                 self.failure_counts,
-                self.limit_observer,
+                target_observer,
                 self.pool,
                 body_memory,
                 self.clock,
@@ -216,6 +221,7 @@
             self.pool.close_expired()
             self.limit_observer.tick()
             self.rate_limiter.remove_unlimited()
+            self.pauses.remove_ended(self.clock.now_s())
             self.limit_exchange.send_notices()
             if self.shared_view.confirmed_at_s is not None:
                 VIEW_AGE.set(self.clock.now_s() - self.shared_view.confirmed_at_s)
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -30,6 +30,11 @@
     "Changes of targets' rate limits and unreadable announcements of them.",
     ("change",),
 )
+TARGET_PAUSES = Counter(
+    "baobabring_entry_target_pauses_total",
+    "Targets that asked to be left alone, for a time or because they are leaving.",
+    ("reason",),
+)
 LIMITED_REQUESTS = Counter(
     "baobabring_entry_limited_requests_total",
     "Calls and probes sent to targets that announce a rate limit.",
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -17,8 +17,8 @@
     build_health_request,
     parse_health_response,
 )
-from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._metrics import PROBES
+from baobabring.program.entry._target_observer import TargetObserver
 from baobabring.utils import Clock
 
 # Targets in the same availability zone respond within 1 ms, or within the time that
@@ -46,12 +46,12 @@
         self,
         ranker: TargetRanker,
         pool: ConnectionPool,
-        limit_observer: LimitObserver,
+        target_observer: TargetObserver,
         clock: Clock,
     ) -> None:
         self.ranker = ranker
         self.pool = pool
-        self.limit_observer = limit_observer
+        self.target_observer = target_observer
         self.clock = clock
 
     async def probe(
@@ -115,11 +115,11 @@
     ) -> ProbeResponse | None:
         target = record.target
         probed_at_s = self.clock.now_s()
-        if not self.ranker.rate_limiter.can_probe(target, probed_at_s):
+        if not self.ranker.gate.rate_limiter.can_probe(target, probed_at_s):
             return await self._connect_only(record)
         request = build_health_request(health_path, target.address)
         PROBES.inc()
-        self.limit_observer.count_probe(target)
+        self.target_observer.limit_observer.count_probe(target)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection, response = await self._exchange(target.address, request)
@@ -135,10 +135,11 @@
         if report is None:
             # Another target may have the address now.
             connection.close()
+            self.target_observer.observe_pause(target, response, LimitSource.PROBE)
             record.mark_unreachable(self.clock.now_s())
             return None
         record.record_report(report, self.clock.now_s())
-        self.limit_observer.observe(target, response, LimitSource.PROBE, probed_at_s)
+        self.target_observer.observe(target, response, LimitSource.PROBE, probed_at_s)
         return ProbeResponse(report, target.address, connection)
 
     async def _connect_only(self, record: TargetRecord) -> ProbeResponse | None:
--- a/packages/baobabring/baobabring/program/entry/_target_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_target_chooser.py
@@ -13,9 +13,9 @@
     TargetRanker,
     TargetRecord,
 )
-from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._prober import Prober, ProbeResponse
 from baobabring.program.entry._progress import CallProgress
+from baobabring.program.entry._target_observer import TargetObserver
 from baobabring.program.entry._wait_queue import Assignment, WaitQueue, assign
 from baobabring.utils import Clock
 
@@ -33,7 +33,7 @@
         ranker: TargetRanker,
         admission: Admission,
         probe_budget: ProbeRateBudget,
-        limit_observer: LimitObserver,
+        target_observer: TargetObserver,
         pool: ConnectionPool,
         clock: Clock,
     ) -> None:
@@ -41,7 +41,7 @@
         self.admission = admission
         self.probe_budget = probe_budget
         self.clock = clock
-        self.prober = Prober(ranker, pool, limit_observer, clock)
+        self.prober = Prober(ranker, pool, target_observer, clock)
         self.wait_queue = WaitQueue(ranker, admission, self.prober, probe_budget, clock)
 
     async def choose(self, progress: CallProgress) -> Assignment | RefuseCall:
@@ -51,10 +51,10 @@
         if now_s + MIN_TIME_LEFT_S >= call.deadline_s:
             return RefuseCall(now_s, CallProblem.TIMEOUT)
         excluded_targets = frozenset(progress.tried_targets)
-        permit_at_s = self.ranker.next_permit_at_s(
+        opening_at_s = self.ranker.next_opening_at_s(
             call.service_id, excluded_targets, now_s
         )
-        refusal = self.admission.refuse_limited(call, permit_at_s, now_s)
+        refusal = self.admission.refuse_limited(call, opening_at_s, now_s)
         if refusal is not None:
             return refusal
         if not self.wait_queue.has_calls_ahead_of(call):
--- a/packages/baobabring/baobabring/program/entry/tests/test_wait_queue.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_wait_queue.py
@@ -12,7 +12,9 @@
     ProbeRateBudget,
     RankerSettings,
     RefuseCall,
+    TargetGate,
     TargetLimits,
+    TargetPauses,
     TargetRanker,
     TargetRateLimiter,
     TargetTable,
@@ -81,7 +83,7 @@
         target_table,
         WorkEstimates(),
         ColdStartLimiter(shares),
-        TargetRateLimiter(TargetLimits(), shares),
+        TargetGate(TargetRateLimiter(TargetLimits(), shares), TargetPauses(Random(1))),
         rng,
     )
     ranker.configuration = build_configuration()
--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -57,6 +57,8 @@
     warmup_left_ms: float = 0.0
     # Value of the header that names the rate the target takes, in all responses.
     limit: str | None = None
+    # Value of the header that it adds when it refuses a call.
+    retry_after: str | None = None
     # Size of the bodies that are sent in parts, and the pause before each part.
     download_bytes: int = 0
     part_interval_s: float = 0.0
@@ -146,9 +148,10 @@
         call_headers = {"X-Baobabring-Attempt-Id": call_id}
         is_full = self.running_calls >= self.slots
         if is_full or self.fault is TargetFault.SHED:
-            self._write_response(
-                writer, 503, {**call_headers, "X-Baobabring-Not-Executed": "1"}
-            )
+            refusal_headers = {**call_headers, "X-Baobabring-Not-Executed": "1"}
+            if self.retry_after is not None:
+                refusal_headers["Retry-After"] = self.retry_after
+            self._write_response(writer, 503, refusal_headers)
             return True
         time_left_ms = float(headers["x-baobabring-deadline-ms"])
         self.runs.append(CallRun(call_id, path, body, time.time(), time_left_ms))
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
@@ -121,7 +121,7 @@
         line
         for instance in fleet.instances
         for line in instance.read_log_lines("call ended")
-        if line["outcome"] == "not-run:rate-limited"
+        if line["outcome"] == "not-run:targets-limited"
     ]
     took_ms = sorted(line["took_ms"] for line in lines)
     assert took_ms[len(took_ms) // 2] < 20.0
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
@@ -0,0 +1,88 @@
+"""Test targets that are leaving or want a pause, with an entry process."""
+
+import asyncio
+import time
+
+import aiohttp
+import pytest
+
+from baobabstandins.usersplatform import (
+    EntryFleet,
+    StandinTarget,
+    TargetFault,
+    build_rule,
+)
+
+MENU_RULE = build_rule("menu", "menuboard")
+CALL_INTERVAL_S = 0.02
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    """Return a running fleet with one instance and three targets."""
+    async with EntryFleet(tmp_path, instance_count=1) as fleet:
+        for number in range(3):
+            await fleet.add_target(StandinTarget(f"i-m{number}", "menuboard", slots=8))
+        fleet.publish([MENU_RULE], ["menuboard"])
+        await fleet.start()
+        yield fleet
+        for instance in fleet.instances:
+            assert instance.is_running
+            assert not instance.read_unhandled_errors()
+
+
+async def send_calls(fleet, duration_s):
+    """Send calls one after the other; return status, Retry-After and time of each."""
+    responses = []
+    until_s = time.time() + duration_s
+    async with aiohttp.ClientSession() as session:
+        while time.time() < until_s:
+            sent_at_s = time.time()
+            headers = {
+                "Host": "school.example",
+                "X-Baobabring-Attempt-Id": f"c{sent_at_s}",
+                "X-Baobabring-Deadline-Ms": "1500",
+            }
+            url = f"{fleet.instances[0].url}/menu/1"
+            async with session.get(url, headers=headers) as response:
+                await response.read()
+                took_s = time.time() - sent_at_s
+                retry_after = response.headers.get("Retry-After")
+                responses.append((response.status, retry_after, took_s))
+            await asyncio.sleep(CALL_INTERVAL_S)
+    return responses
+
+
+def requests_since(target, since_s, until_s=float("inf")):
+    """Return the calls and probes that a target received in a time."""
+    return [r for r in target.requests if since_s <= r.received_at_s < until_s]
+
+
+# Guards against requests to a target in the time for which it wants none.
+async def test_target_that_refuses_is_left_alone_for_the_time_it_states(fleet):
+    paused = fleet.targets[0]
+    await send_calls(fleet, 0.5)
+    paused.fault = TargetFault.SHED
+    paused.retry_after = "2"
+    await send_calls(fleet, 0.3)
+    refused_at_s = min(
+        line["at_s"]
+        for line in fleet.instances[0].read_log_lines("target wants a pause")
+    )
+    paused.fault = TargetFault.NONE
+    responses = await send_calls(fleet, 4.0)
+    assert len(requests_since(paused, refused_at_s + 0.5, refused_at_s + 2.0)) <= 2
+    assert requests_since(paused, refused_at_s + 2.0)
+    assert {status for status, _, _ in responses} == {200}
+
+
+# Guards against refusals that state no true time to come back.
+async def test_callers_return_when_the_targets_take_calls_again(fleet):
+    for target in fleet.targets:
+        target.fault = TargetFault.SHED
+        target.retry_after = "0.3"
+    await send_calls(fleet, 0.1)
+    (status, retry_after, took_s), *_ = await send_calls(fleet, 0.01)
+    assert status == 503
+    assert took_s < 0.05
+    assert 0.03 <= float(retry_after) <= 0.5
