Send nothing more to a target once a response has said that it is leaving

Callers would have seen: calls sent to a target that was going, whenever the store was behind it; each can be lost with the target. Cause: only the target's registration in the store could say that it is leaving. Change: a pause without end for this start of the target. A registration that comes back, from the store or from a peer, changes nothing; a new start begins without it. Process tests, failing before: no call and no probe after the first such response while the registration is renewed, removed and written again; calls are refused within 50 ms while all targets of a service leave (200 and probes before).

--- a/packages/baobabring/baobabring/entry/_target_pauses.py
+++ b/packages/baobabring/baobabring/entry/_target_pauses.py
@@ -14,7 +14,7 @@
     """Maintain until when targets are left alone.
 
     A pause belongs to one start of a target, and holds whether the target is registered
-    or not.
+    or not. That of a leaving target does not end.
     """
 
     def __init__(self, rng: Random) -> None:
@@ -41,6 +41,10 @@
             del self._end_s[next(iter(self._end_s))]
         return True
 
+    def mark_leaving(self, target: EntryTarget) -> bool:
+        """Leave a target alone for good; return whether that is new."""
+        return self.pause(target, float("inf"))
+
     def remove_ended(self, now_s: float) -> None:
         """Remove the pauses that have ended."""
         self._end_s = {key: end for key, end in self._end_s.items() if end > now_s}
--- a/packages/baobabring/baobabring/entry/tests/test_target_pauses.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_pauses.py
@@ -41,6 +41,14 @@
     assert pauses.end_s(TARGET) >= 12.0
 
 
+def test_leaving_target_stays_left_alone_until_a_new_start(pauses):
+    assert pauses.mark_leaving(TARGET)
+    assert not pauses.mark_leaving(TARGET)
+    pauses.remove_ended(1e9)
+    assert pauses.end_s(TARGET) == float("inf")
+    assert pauses.end_s(build_target(started_at_ms=2_000)) == float("-inf")
+
+
 def test_ended_pauses_are_removed(pauses):
     pauses.pause(TARGET, 12.0)
     pauses.remove_ended(13.0)
--- a/packages/baobabring/baobabring/platform/tests/test_wire.py
+++ b/packages/baobabring/baobabring/platform/tests/test_wire.py
@@ -188,6 +188,12 @@
     assert wire.parse_retry_after_s(build_response(200, retry_after="2")) is None
 
 
+@pytest.mark.parametrize("value", ["", "0", "true", "11", "-1"])
+def test_only_one_means_leaving(value):
+    assert wire.states_leaving(build_response(server_leaving=" 1 "))
+    assert not wire.states_leaving(build_response(server_leaving=value))
+
+
 def test_response_with_another_id_is_of_another_target():
     response = build_response(x_baobabring_instance_id="t-2")
     assert wire.is_of_other_target(response, "t-1")
--- a/packages/baobabring/baobabring/platform/wire.py
+++ b/packages/baobabring/baobabring/platform/wire.py
@@ -30,6 +30,8 @@
 # Requests a second that the target takes from all instances together.
 LIMIT_HEADER = b"server-limit"
 
+# Set to `1` by targets that are leaving and get no new calls.
+LEAVING_HEADER = b"server-leaving"
 RETRY_AFTER_HEADER = b"retry-after"
 
 STATUS_OK = 200
@@ -66,6 +68,7 @@
     COLD_TIME_LEFT_HEADER,
     TARGET_ID_HEADER,
     LIMIT_HEADER,
+    LEAVING_HEADER,
 }
 _KNOWN_RESPONSE_HEADERS = _DROPPED_RESPONSE_HEADERS | {
     CALL_ID_HEADER,
@@ -175,6 +178,11 @@
     return LimitNamed(min(rates))
 
 
+def states_leaving(response: HttpResponse) -> bool:
+    """Return whether a response says that the target is leaving."""
+    return b"1" in _get_values(response, LEAVING_HEADER)
+
+
 def parse_retry_after_s(response: HttpResponse) -> float | None:
     """Return how long a target that refuses wants no requests, None if unknown.
 
--- a/packages/baobabring/baobabring/program/entry/_target_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_target_observer.py
@@ -7,6 +7,7 @@
 from baobabring.platform.wire import (
     is_of_other_target,
     parse_retry_after_s,
+    states_leaving,
 )
 from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._metrics import TARGET_PAUSES
@@ -42,6 +43,10 @@
         """Record whether a target wants to be left alone, if it sent the response."""
         if is_of_other_target(response, target.target_id):
             return
+        if states_leaving(response) and self.pauses.mark_leaving(target):
+            TARGET_PAUSES.labels("leaving").inc()
+            LOG.info("target is leaving", target=target.target_id, source=source)
+            return
         wait_s = parse_retry_after_s(response)
         if wait_s is None:
             return
--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -57,6 +57,8 @@
     warmup_left_ms: float = 0.0
     # Value of the header that names the rate the target takes, in all responses.
     limit: str | None = None
+    # Value of the header by which it says in all responses that it is leaving.
+    leaving: str | None = None
     # Value of the header that it adds when it refuses a call.
     retry_after: str | None = None
     # Size of the bodies that are sent in parts, and the pause before each part.
@@ -233,6 +235,8 @@
         )
         if self.limit is not None:
             lines.append(f"Server-Limit: {self.limit}")
+        if self.leaving is not None:
+            lines.append(f"Server-Leaving: {self.leaving}")
         if self.warmup_left_ms:
             lines.append(f"X-Baobabring-Warmup-Ms: {int(self.warmup_left_ms)}")
         lines.append("Keep-Alive: timeout=10")
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
@@ -58,6 +58,43 @@
     return [r for r in target.requests if since_s <= r.received_at_s < until_s]
 
 
+# Guards against calls to a target that is leaving, whatever the store says of it.
+async def test_leaving_target_gets_no_requests_until_it_starts_anew(fleet):
+    leaving = fleet.targets[0]
+    await send_calls(fleet, 0.5)
+    assert leaving.requests
+    leaving.leaving = "1"
+    await send_calls(fleet, 0.5)
+    left_at_s = time.time()
+    leaving.leaving = None
+    leaving.register(fleet.store)
+    await send_calls(fleet, 1.0)
+    leaving.unregister(fleet.store)
+    await send_calls(fleet, 1.5)
+    leaving.register(fleet.store)
+    responses = await send_calls(fleet, 1.5)
+    assert not requests_since(leaving, left_at_s)
+    assert {status for status, _, _ in responses} == {200}
+    await leaving.stop()
+    leaving.sequence = 0
+    await leaving.start()
+    leaving.register(fleet.store)
+    await send_calls(fleet, 2.5)
+    assert requests_since(leaving, left_at_s)
+
+
+# Guards against callers that wait for targets which are all leaving.
+async def test_calls_are_refused_at_once_while_all_targets_are_leaving(fleet):
+    for target in fleet.targets:
+        target.leaving = "1"
+    await send_calls(fleet, 0.5)
+    responses = await send_calls(fleet, 1.0)
+    for status, retry_after, took_s in responses:
+        assert status == 503
+        assert float(retry_after) > 0
+        assert took_s < 0.05
+
+
 # Guards against requests to a target in the time for which it wants none.
 async def test_target_that_refuses_is_left_alone_for_the_time_it_states(fleet):
     paused = fleet.targets[0]
@@ -86,3 +123,18 @@
     assert status == 503
     assert took_s < 0.05
     assert 0.03 <= float(retry_after) <= 0.5
+
+
+@pytest.mark.parametrize(
+    "value", ["", "-1", "nan", "soon", "Fri, 04 Dec 2026", "9" * 99]
+)
+async def test_malformed_pauses_and_leaving_change_nothing(fleet, value):
+    target = fleet.targets[0]
+    target.leaving = value
+    target.retry_after = value
+    target.fault = TargetFault.SHED
+    await send_calls(fleet, 0.5)
+    target.fault = TargetFault.NONE
+    now_s = time.time()
+    await send_calls(fleet, 1.0)
+    assert requests_since(target, now_s)
