Look at the headers of a response once for announcements

Each response to a call or a probe was searched three times for headers that hardly any has. One pass finds the unusual names, and the rest runs only for those, for refusals and while a limit is known. The wait for a refusal in the test of pauses no longer relies on one of some twelve calls reaching one of three targets (it failed once of four runs, with no refusal logged because no call had gone there).

--- a/packages/baobabring/baobabring/platform/wire.py
+++ b/packages/baobabring/baobabring/platform/wire.py
@@ -67,10 +67,10 @@
     LOAD_HEADER,
     COLD_TIME_LEFT_HEADER,
     TARGET_ID_HEADER,
-    LIMIT_HEADER,
-    LEAVING_HEADER,
 }
-_KNOWN_RESPONSE_HEADERS = _DROPPED_RESPONSE_HEADERS | {
+# Announcements of targets that most responses don't have.
+_ANNOUNCEMENT_HEADERS = frozenset({LIMIT_HEADER, LEAVING_HEADER})
+_USUAL_RESPONSE_HEADERS = _DROPPED_RESPONSE_HEADERS | {
     CALL_ID_HEADER,
     SIGNATURE_HEADER,
     RETRY_AFTER_HEADER,
@@ -183,19 +183,29 @@
     return b"1" in _get_values(response, LEAVING_HEADER)
 
 
+def is_refusal(response: HttpResponse) -> bool:
+    """Return whether a response can state for how long a target wants no requests."""
+    return response.status == STATUS_UNAVAILABLE
+
+
 def parse_retry_after_s(response: HttpResponse) -> float | None:
     """Return how long a target that refuses wants no requests, None if unknown.
 
     The longest of several valid times counts.
     """
-    if response.status != STATUS_UNAVAILABLE:
+    if not is_refusal(response):
         return None
     return max(_parse_decimals(_get_values(response, RETRY_AFTER_HEADER)), default=None)
 
 
-def unknown_header_names(response: HttpResponse) -> list[bytes]:
-    """Return the names of a response's headers that have no meaning here."""
-    return [name for name, _ in response.headers if name not in _KNOWN_RESPONSE_HEADERS]
+def unusual_header_names(response: HttpResponse) -> list[bytes]:
+    """Return the names of announcements and of headers without a meaning here."""
+    return [name for name, _ in response.headers if name not in _USUAL_RESPONSE_HEADERS]
+
+
+def is_announcement(header_name: bytes) -> bool:
+    """Return whether a header is an announcement of a target."""
+    return header_name in _ANNOUNCEMENT_HEADERS
 
 
 def is_not_run_response(response: HttpResponse) -> bool:
@@ -236,7 +246,9 @@
     return [
         (name, value)
         for name, value in response.headers
-        if name not in _DROPPED_RESPONSE_HEADERS and name not in connection_headers
+        if name not in _DROPPED_RESPONSE_HEADERS
+        and name not in _ANNOUNCEMENT_HEADERS
+        and name not in connection_headers
     ]
 
 
--- a/packages/baobabring/baobabring/program/entry/_limit_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_limit_observer.py
@@ -15,7 +15,7 @@
     LimitUnreadable,
     TargetLimits,
 )
-from baobabring.platform.wire import parse_limit, unknown_header_names
+from baobabring.platform.wire import parse_limit
 from baobabring.program.entry._metrics import (
     LIMIT_ANNOUNCEMENTS,
     LIMITED_REQUESTS,
@@ -26,7 +26,6 @@
 LOG = logbook.Logger("limits")
 
 MS_PER_S = 1_000
-MAX_LOGGED_HEADER_NAMES = 30
 
 
 class LimitObserver:
@@ -41,7 +40,6 @@
         self._calls: Counter[str] = Counter()
         self._probes: Counter[str] = Counter()
         self._unreadable: dict[str, str] = {}
-        self._header_names: set[bytes] = set()
 
     def observe(
         self,
@@ -54,7 +52,6 @@
         now_s = self.clock.now_s()
         announcement = parse_limit(response)
         change = self.limits.record(target, announcement, source, sent_at_s, now_s)
-        self._log_new_header_names(response, source)
         if isinstance(announcement, LimitUnreadable):
             self._log_unreadable(target, announcement, source)
         if change is not None:
@@ -132,21 +129,6 @@
             per_s=self.limits.requests_per_s(target),
         )
 
-    def _log_new_header_names(
-        self, response: HttpResponse, source: LimitSource
-    ) -> None:
-        """Log each header name of targets' responses once that has no meaning here."""
-        if len(self._header_names) >= MAX_LOGGED_HEADER_NAMES:
-            return
-        for name in unknown_header_names(response):
-            if name not in self._header_names:
-                self._header_names.add(name)
-                LOG.info(
-                    "target sent an unknown header",
-                    header=name.decode("latin-1"),
-                    source=source,
-                )
-
 
 def _kind_of(change: LimitChange) -> str:
     if change.after_per_s is None:
--- a/packages/baobabring/baobabring/program/entry/_target_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_target_observer.py
@@ -5,9 +5,12 @@
 from baobabring.connections import HttpResponse
 from baobabring.entry import EntryTarget, LimitSource, TargetPauses
 from baobabring.platform.wire import (
+    is_announcement,
     is_of_other_target,
+    is_refusal,
     parse_retry_after_s,
     states_leaving,
+    unusual_header_names,
 )
 from baobabring.program.entry._limit_observer import LimitObserver
 from baobabring.program.entry._metrics import TARGET_PAUSES
@@ -15,6 +18,8 @@
 
 LOG = logbook.Logger("targets")
 
+MAX_LOGGED_HEADERS = 30
+
 
 class TargetObserver:
     """Record the limits, the pauses and the leaving that targets announce."""
@@ -25,6 +30,7 @@
         self.limit_observer = limit_observer
         self.pauses = pauses
         self.clock = clock
+        self._logged_headers: set[bytes] = set()
 
     def observe(
         self,
@@ -34,8 +40,14 @@
         sent_at_s: float,
     ) -> None:
         """Record what a response says that the target is known to have sent."""
-        self.limit_observer.observe(target, response, source, sent_at_s)
-        self.observe_pause(target, response, source)
+        unusual_names = unusual_header_names(response)
+        # The absence of an announcement can end a limit.
+        if unusual_names or self.limit_observer.limits:
+            self.limit_observer.observe(target, response, source, sent_at_s)
+        if unusual_names or is_refusal(response):
+            self.observe_pause(target, response, source)
+        for name in unusual_names:
+            self._log_if_unknown(name, source)
 
     def observe_pause(
         self, target: EntryTarget, response: HttpResponse, source: LimitSource
@@ -58,3 +70,16 @@
                 source=source,
                 wait_s=wait_s,
             )
+
+    def _log_if_unknown(self, name: bytes, source: LimitSource) -> None:
+        """Log a header without a meaning here, each name once."""
+        if is_announcement(name) or name in self._logged_headers:
+            return
+        if len(self._logged_headers) >= MAX_LOGGED_HEADERS:
+            return
+        self._logged_headers.add(name)
+        LOG.info(
+            "target sent an unknown header",
+            header=name.decode("latin-1"),
+            source=source,
+        )
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
@@ -101,11 +101,11 @@
     await send_calls(fleet, 0.5)
     paused.fault = TargetFault.SHED
     paused.retry_after = "2"
-    await send_calls(fleet, 0.3)
-    refused_at_s = min(
-        line["at_s"]
-        for line in fleet.instances[0].read_log_lines("target wants a pause")
-    )
+    async with asyncio.timeout(5.0):
+        while not fleet.instances[0].read_log_lines("target wants a pause"):
+            await send_calls(fleet, 0.05)
+    (refusal,) = fleet.instances[0].read_log_lines("target wants a pause")
+    refused_at_s = refusal["at_s"]
     paused.fault = TargetFault.NONE
     responses = await send_calls(fleet, 4.0)
     assert len(requests_since(paused, refused_at_s + 0.5, refused_at_s + 2.0)) <= 2
