--- a/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
+++ b/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
@@ -17,7 +17,9 @@
     InstanceAlive,
     InstanceChanges,
     InstanceList,
+    LimitNotice,
     SharedView,
+    TargetLimitNotices,
     ViewDelta,
     ViewHeartbeat,
     ViewRequest,
@@ -33,6 +35,7 @@
 
 ENTRY_MESSAGE_TYPES = (
     InstanceAlive,
+    TargetLimitNotices,
     ViewDelta,
     ViewHeartbeat,
     ViewRequest,
@@ -101,6 +104,25 @@
     "StateRequest": StateRequest(sender="i", reply_address="127.0.0.1:1"),
     "StateReply": StateReply(sender="i", configuration=b"x", cold_start_snapshot=b"y"),
     "SharedProbe": SharedProbe(target_id="t-1", probed_at_s=1.0, healthy=True),
+    "TargetLimitNotices": TargetLimitNotices(
+        sender="i",
+        notices=[
+            LimitNotice(
+                target_id="t-1",
+                started_at_ms=5,
+                requests_per_s=4.8,
+                age_ms=6.0,
+                named_in=["probe"],
+            ),
+            LimitNotice(
+                target_id="t-2",
+                started_at_ms=5,
+                requests_per_s=None,
+                age_ms=6.0,
+                named_in=[],
+            ),
+        ],
+    ),
     "InstanceAlive": InstanceAlive(
         sender="i",
         address="127.0.0.1:1",
@@ -172,6 +194,10 @@
         "2e302e313a3830a56e6f72746802c30405cb401800000000000091a3742d3291"
         "a5736f757468"
     ),
+    "TargetLimitNotices": (
+        "020b92a1699295a3742d3105cb4013333333333333cb401800000000000091a5"
+        "70726f626595a3742d3205c0cb401800000000000090"
+    ),
     "ViewRequest": "020992a169ab3132372e302e302e313a31",
 }
 RECORDED_DIGESTS = (1710228617801480188, 13532897679264957911)
