--- a/packages/baobabstandins/baobabstandins/soak/_faults.py
+++ b/packages/baobabstandins/baobabstandins/soak/_faults.py
@@ -4,6 +4,11 @@
 import signal
 import time
 
+from baobabstandins.soak._announcements import (
+    AnnouncedLeaving,
+    AnnouncedLimit,
+    Announcement,
+)
 from baobabstandins.soak._checks import Disturbance
 from baobabstandins.soak._fleet import FEES_RULE, MENU_RULE, SERVICES, ZONES, SoakFleet
 from baobabstandins.soak._plan import Fault, FaultKind
@@ -14,6 +19,11 @@
 LINK_DELAY_S = 0.3
 # A process that has just been started or resumed may still lose calls.
 DISTURBANCE_MARGIN_S = 1.0
+# Values of limits in requests a second, and of wait times in seconds.
+LIMITS = ("0.5", "1", "2.5", "6")
+PAUSES = ("0.8", "1.5", "2")
+# A target that wants pauses refuses calls for this long.
+REFUSAL_S = 0.3
 TARGET_FAULTS = (
     TargetFault.RESET_AFTER_RUN,
     TargetFault.EXTRA_ANSWER_FIRST,
@@ -29,7 +39,10 @@
     def __init__(self, fleet: SoakFleet) -> None:
         self.fleet = fleet
         self.disturbances: list[Disturbance] = []
+        self.announcements: list[Announcement] = []
         self._disturbed_instances: set[int] = set()
+        self._ending_targets: set[str] = set()
+        self._limits: dict[str, AnnouncedLimit] = {}
 
     async def run(self, plan: tuple[Fault, ...]) -> None:
         """Inject the faults of a plan until the last one has ended."""
@@ -95,10 +108,72 @@
             case FaultKind.TARGET_CRASH:
                 await self._crash(target, duration_s)
 
+            case FaultKind.TARGET_LIMITED:
+                await self._limit(
+                    target, LIMITS[fault.selector % len(LIMITS)], duration_s
+                )
+            case FaultKind.TARGET_LEAVING:
+                await self._leave(target, duration_s)
+            case FaultKind.TARGET_WANTS_PAUSES:
+                await self._pause_calls(target, PAUSES[fault.selector % len(PAUSES)])
+
     async def _crash(self, target: StandinTarget, duration_s: float) -> None:
+        if target.target_id in self._ending_targets:
+            return
+        self._ending_targets.add(target.target_id)
         await target.stop()
+        self._end_limit(target)
+        await asyncio.sleep(duration_s)
+        await self.fleet.start_target(target)
+        self._ending_targets.discard(target.target_id)
+
+    async def _limit(
+        self, target: StandinTarget, value: str, duration_s: float
+    ) -> None:
+        """Let a target name a limit, unless it names one already."""
+        if target.target_id in self._limits or target.target_id in self._ending_targets:
+            return
+        limit = AnnouncedLimit(target.target_id, float(value), time.time())
+        self.announcements.append(limit)
+        self._limits[target.target_id] = limit
+        target.limit = value
         await asyncio.sleep(duration_s)
+        if self._limits.get(target.target_id) is limit:
+            self._end_limit(target)
+
+    def _end_limit(self, target: StandinTarget) -> None:
+        limit = self._limits.pop(target.target_id, None)
+        if limit is not None:
+            limit.until_s = time.time()
+            target.limit = None
+
+    async def _leave(self, target: StandinTarget, duration_s: float) -> None:
+        """Let a target say that it is leaving, end it, and start it anew.
+
+        Its registration stays as that of a target in use.
+        """
+        if target.target_id in self._ending_targets:
+            return
+        self._ending_targets.add(target.target_id)
+        leaving = AnnouncedLeaving(target.target_id, time.time())
+        self.announcements.append(leaving)
+        target.leaving = "1"
+        await asyncio.sleep(duration_s)
+        await target.stop()
+        leaving.until_s = time.time()
+        target.leaving = None
+        self._end_limit(target)
         await self.fleet.start_target(target)
+        self._ending_targets.discard(target.target_id)
+
+    async def _pause_calls(self, target: StandinTarget, value: str) -> None:
+        """Let a target refuse calls for a moment and state a wait time."""
+        if target.retry_after is not None or target.fault is not TargetFault.NONE:
+            return
+        target.retry_after = value
+        target.fault = TargetFault.SHED
+        await asyncio.sleep(REFUSAL_S)
+        target.fault = TargetFault.NONE
 
     async def _disturb_instance(self, fault: Fault, duration_s: float) -> None:
         number = fault.selector % len(self.fleet.instances)
--- a/packages/baobabstandins/baobabstandins/soak/tests/test_soak.py
+++ b/packages/baobabstandins/baobabstandins/soak/tests/test_soak.py
@@ -4,8 +4,15 @@
 
 FAULTS_S = 6.0
 FIXED_SEED = 5
+ANNOUNCEMENTS_SEED = 11
 
 
 async def test_fixed_seed_breaks_no_promise(tmp_path):
     findings = await run_soak(FIXED_SEED, FAULTS_S, tmp_path)
     assert [str(finding) for finding in findings] == []
+
+
+# Guards against what targets announce getting lost among other faults.
+async def test_fixed_seed_with_announcements_breaks_no_promise(tmp_path):
+    findings = await run_soak(ANNOUNCEMENTS_SEED, FAULTS_S, tmp_path, True)
+    assert [str(finding) for finding in findings] == []
