--- a/packages/baobabring/baobabring/program/_peer_link.py
+++ b/packages/baobabring/baobabring/program/_peer_link.py
@@ -70,8 +70,13 @@
             LOG.debug("received invalid frame", problem=message.problem)
             return
         handler = self._handlers.get(type(message))
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(message)
+        except Exception:
+            # Frames that wait behind this one must still be read.
+            LOG.exception("message not handled", kind=type(message).__name__)
 
     def _count(self, direction: str, kind: str, size_bytes: int) -> None:
         counters = self._counters.get((direction, kind))
--- a/packages/baobabring/baobabring/program/entry/_failure_counts.py
+++ b/packages/baobabring/baobabring/program/entry/_failure_counts.py
@@ -49,9 +49,9 @@
         """Record the failures of all instances, own ones only once."""
         for target_id, count in counts.items():
             own = min(count, self._sent.get(target_id, 0))
-            if own:
+            if own > 0:
                 self._sent[target_id] -= own
-            if count > own:
+            if count > max(0, own):
                 self._record(target_id, count - own)
 
     def _record(self, target_id: str, count: int) -> None:
@@ -62,4 +62,4 @@
 
 def _add_to(total: Counts, counts: Counts) -> None:
     for target_id, count in counts.items():
-        total[target_id] = total.get(target_id, 0) + count
+        total[target_id] = total.get(target_id, 0) + max(0, count)
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -50,6 +50,7 @@
 from baobabring.program.entry._peer_task import PeerTask
 from baobabring.program.entry._server import HttpServer
 from baobabring.program.entry._settings_task import SettingsTask
+from baobabring.program.entry._supervision import supervise
 from baobabring.program.entry._target_chooser import TargetChooser
 from baobabring.program.entry._target_observer import TargetObserver
 from baobabring.program.entry._view_task import ViewTask
@@ -203,9 +204,12 @@
     async def _run_tasks(self) -> None:
         async with asyncio.TaskGroup() as group:
             group.create_task(self.view_task.run())
-            group.create_task(self.peer_task.run())
-            group.create_task(self.settings_task.run())
-            group.create_task(self._run_housekeeping())
+            for name, run in (
+                ("peers", self.peer_task.run),
+                ("settings", self.settings_task.run),
+                ("housekeeping", self._run_housekeeping),
+            ):
+                group.create_task(supervise(name, run))
             group.create_task(self._start_accepting())
 
     async def _start_accepting(self) -> None:
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -43,6 +43,11 @@
 LIMITED_TARGETS = Gauge(
     "baobabring_entry_limited_targets", "Targets that announce a rate limit."
 )
+TASK_FAILURES = Counter(
+    "baobabring_entry_task_failures_total",
+    "Unexpected errors after which a task started again.",
+    ("task",),
+)
 STORE_CALLS = Counter(
     "baobabring_entry_store_calls_total", "Calls to the store by outcome.", ("outcome",)
 )
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -21,6 +21,7 @@
 from baobabring.program._peer_link import PeerLink
 from baobabring.program.entry._peer_task import PeerTask
 from baobabring.program.entry._store_reader import StoreReader
+from baobabring.program.entry._supervision import supervise
 from baobabring.utils import Clock
 
 LOG = logbook.Logger("view")
@@ -89,9 +90,12 @@
     async def run(self) -> None:
         """Update the view until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._run_target_reads())
-            group.create_task(self._run_operator_reads())
-            group.create_task(self._run_instance_refresh())
+            for name, run in (
+                ("target reads", self._run_target_reads),
+                ("operator reads", self._run_operator_reads),
+                ("instance refresh", self._run_instance_refresh),
+            ):
+                group.create_task(supervise(name, run))
 
     # Reads of the store
 
--- a/packages/baobabring/baobabring/program/entry/tests/test_failure_counts.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_failure_counts.py
@@ -48,3 +48,12 @@
 def test_own_failure_counts_before_totals_are_received(instances):
     instances[1].count_failure("t-1")
     assert failures(instances[1]) == 1
+
+
+# Guards against a message that ends the task which handles it.
+def test_negative_counts_of_a_peer_change_nothing(instances):
+    reader = instances[0]
+    reader.add_counts({"t-1": -5, "unknown": -1})
+    reader.drain_totals()
+    reader.apply_totals({"t-1": -5, "unknown": -1})
+    assert failures(reader) == 0.0
--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -12,6 +12,8 @@
 TARGET_TOPIC = "keyed.servers"
 HEADER_END = b"\r\n\r\n"
 DOWNLOAD_PART_BYTES = 16 * 1024
+# Pause before the second copy of a response.
+SECOND_ANSWER_DELAY_S = 0.03
 
 
 class TargetFault(StrEnum):
@@ -20,6 +22,7 @@
     NONE = "none"
     RESET_AFTER_RUN = "reset-after-run"
     EXTRA_ANSWER_FIRST = "extra-answer-first"
+    SECOND_ANSWER_LATE = "second-answer-late"
     CUT_SHORT = "cut-short"
     SHED = "shed"
     FAIL = "fail"
@@ -157,7 +160,10 @@
                 writer, 421, {"X-Baobabring-Instance-Id": self.target_id}
             )
             return True
-        call_id = headers["x-baobabring-attempt-id"]
+        call_id = headers.get("x-baobabring-attempt-id")
+        if call_id is None:
+            self._write_response(writer, 400, {"X-Baobabring-Not-Executed": "1"})
+            return True
         call_headers = {"X-Baobabring-Attempt-Id": call_id}
         is_full = self.running_calls >= self.slots
         is_refused = is_full or self.fault is TargetFault.SHED
@@ -238,6 +244,15 @@
             other_headers = {**signed_headers, "X-Baobabring-Attempt-Id": "another"}
             self._write_response(writer, 200, other_headers, b"of another call")
         self._write_response(writer, 200, signed_headers, body)
+        if self.fault is TargetFault.SECOND_ANSWER_LATE:
+            asyncio.get_running_loop().call_later(
+                SECOND_ANSWER_DELAY_S,
+                self._write_response,
+                writer,
+                200,
+                signed_headers,
+                body,
+            )
         return True
 
     def _write_response(
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_robustness.py
@@ -0,0 +1,181 @@
+"""Test failures that operators of similar systems reported, at the entry program."""
+
+import asyncio
+import json
+import os
+import signal
+import time
+
+import aiohttp
+import pytest
+import zmq
+from baobabring.entry import (
+    InstanceAlive,
+    InstanceChanges,
+    LimitNotice,
+    TargetLimitNotices,
+    ViewHeartbeat,
+    ViewRequest,
+)
+from baobabring.program.entry._peer_messages import ENTRY_MESSAGES
+
+from baobabstandins.usersplatform import (
+    EntryFleet,
+    StandinTarget,
+    TargetFault,
+    build_rule,
+)
+
+MENU_RULE = build_rule("menu", "menuboard")
+FEES_RULE = build_rule("fees", "feedesk", idempotent=False)
+FRONT_PORT = 8381
+PEER_PORT = 7200
+NAN = float("nan")
+HOSTILE_MESSAGES = (
+    InstanceAlive("x", "no address", NAN, {"t": -5}),
+    InstanceAlive("x", "", 1e308, {}, joining=True),
+    ViewRequest("x", "tcp://no"),
+    ViewHeartbeat(
+        "x", "?", 0, 0, 0.0, 1, InstanceChanges({"y": "?"}, ["z"], 2), NAN, {}
+    ),
+    TargetLimitNotices("x", [LimitNotice("i-m0", 2**62, NAN, -1.0, ["?"])]),
+)
+HOSTILE_REQUESTS = (
+    b"\x00\xff\x16\x03\x01 nonsense\r\n\r\n",
+    b"GET /menu/1 HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n",
+    b"GET /menu/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nzz",
+    b"POST /fees/1 HTTP/1.1\r\nHost: school.example\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n",
+    b"GET /menu/1 HTTP/1.1\r\nHost: school.example\r\n"
+    b"X-Baobabring-Deadline-Ms: " + b"9" * 5_000 + b"\r\n\r\n",
+)
+HOSTILE_RECORDS = (
+    b"\xff\xfe",
+    b"[]",
+    b"{}",
+    b"null",
+    b'{"version": 1e400}',
+    b'{"version":"7","listeners":{},"clusters":[null]}',
+    json.dumps({"address": "a:b:c", "info": {}, "status": {}}).encode(),
+)
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    """Return a running fleet with two instances and three targets per service."""
+    async with EntryFleet(tmp_path, instance_count=2) as fleet:
+        for number in range(3):
+            await fleet.add_target(StandinTarget(f"i-m{number}", "menuboard"))
+            await fleet.add_target(StandinTarget(f"i-f{number}", "feedesk"))
+        fleet.publish([MENU_RULE, FEES_RULE], ["menuboard", "feedesk"])
+        await fleet.start()
+        yield fleet
+        for instance in fleet.instances:
+            assert instance.is_running
+            assert not instance.read_unhandled_errors()
+
+
+async def send_call(session, instance, call_id, path="/menu/1", method="GET"):
+    """Send a call; return its status and body."""
+    headers = {
+        "Host": "school.example",
+        "X-Baobabring-Attempt-Id": call_id,
+        "X-Baobabring-Deadline-Ms": "1500",
+    }
+    url = f"{instance.url}{path}"
+    async with session.request(method, url, headers=headers) as response:
+        return response.status, await response.read()
+
+
+async def assert_serves(fleet):
+    """Check that each instance serves calls of both services."""
+    async with aiohttp.ClientSession() as session:
+        for number, instance in enumerate(fleet.instances):
+            for path, method in (("/menu/1", "GET"), ("/fees/1", "POST")):
+                call_id = f"s{number}{method}".lower()
+                status, body = await send_call(session, instance, call_id, path, method)
+                assert status == 200
+                assert body.startswith(f"{method} {call_id} by ".encode())
+
+
+# Guards against a caller that gets a late second response to another call.
+async def test_late_second_response_reaches_no_other_caller(fleet):
+    for target in fleet.targets:
+        target.fault = TargetFault.SECOND_ANSWER_LATE
+    async with aiohttp.ClientSession() as session:
+        for number in range(60):
+            method = "POST" if number % 2 else "GET"
+            path = "/fees/1" if number % 2 else "/menu/1"
+            status, body = await send_call(
+                session, fleet.instances[0], f"c{number}", path, method
+            )
+            assert status == 200
+            assert body.startswith(f"{method} c{number} by ".encode())
+            await asyncio.sleep(0.01 * (number % 5))
+
+
+# Guards against messages of peers that end a process or stop its reception.
+async def test_malformed_messages_of_peers_change_nothing(fleet):
+    frames = [os.urandom(size) for size in (0, 1, 2, 40, 3_000)]
+    frames += [bytes((2, kind)) + os.urandom(30) for kind in range(14)]
+    frames += [ENTRY_MESSAGES.encode(message) for message in HOSTILE_MESSAGES]
+    context = zmq.Context()
+    for instance in fleet.instances:
+        socket = context.socket(zmq.PUSH)
+        socket.connect(f"tcp://{instance.ip}:{PEER_PORT}")
+        for frame in frames:
+            socket.send(frame)
+        socket.close(linger=1_000)
+    await asyncio.sleep(1.5)
+    context.term()
+    await assert_serves(fleet)
+    # Changes still arrive everywhere.
+    fleet.publish(
+        [MENU_RULE, FEES_RULE, build_rule("trays", "menuboard")],
+        ["menuboard", "feedesk"],
+    )
+    await asyncio.sleep(2.5)
+    async with aiohttp.ClientSession() as session:
+        for instance in fleet.instances:
+            assert (await send_call(session, instance, "c", "/trays/1"))[0] == 200
+
+
+# Guards against requests that end a process.
+async def test_malformed_requests_of_callers_change_nothing(fleet):
+    for request in HOSTILE_REQUESTS:
+        for instance in fleet.instances:
+            reader, writer = await asyncio.open_connection(instance.ip, FRONT_PORT)
+            writer.write(request)
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.transport.abort()
+            del reader
+    await assert_serves(fleet)
+
+
+# Guards against records that end a process or take other records out of use.
+async def test_malformed_records_of_the_store_change_nothing(fleet):
+    for value in HOSTILE_RECORDS:
+        fleet.store.put("keyed.servers", "i-hostile", value)
+        fleet.store.put("keyed.op", "config", value)
+        fleet.store.put("keyed.op", "evacuate/", value)
+        fleet.store.put("keyed.instances", "entry-9", value)
+    await asyncio.sleep(2.0)
+    await assert_serves(fleet)
+
+
+# Guards against a target that has left being used again after a restart.
+async def test_target_that_left_stays_unused_after_restarts(fleet):
+    gone = fleet.targets[0]
+    gone.register(fleet.store, state="draining")
+    gone.unregister(fleet.store)
+    await asyncio.sleep(2.5)
+    left_at_s = time.time()
+    for instance in fleet.instances:
+        instance.send_signal(signal.SIGKILL)
+        await instance.process.wait()
+        await instance.start()
+        await fleet.wait_until_ready()
+        await assert_serves(fleet)
+    assert not [r for r in gone.requests if r.received_at_s > left_at_s]
