Leave a target alone also if its refusal does not prove that the call has not run

A 503 with a wait time counts as such a refusal whether or not it states that the target did not run the call; only those that did were read. The new case of test_target_that_refuses_is_left_alone_for_the_time_it_states failed before.

--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -118,9 +118,11 @@
         load = parse_load(response)
         if load is not None:
             assignment.record.record_load(load, now_s)
+        target = assignment.record.target
         if is_of_expected_target(response):
-            target = assignment.record.target
             self.target_observer.observe(target, response, LimitSource.CALL, sent_at_s)
+        else:
+            self.target_observer.observe_pause(target, response, LimitSource.CALL)
         return self._read_response(call, assignment, response, now_s - sent_at_s)
 
     def _read_response(
--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -25,9 +25,13 @@
     SECOND_ANSWER_LATE = "second-answer-late"
     CUT_SHORT = "cut-short"
     SHED = "shed"
+    SHED_WITHOUT_PROOF = "shed-without-proof"
     FAIL = "fail"
 
 
+REFUSING_FAULTS = frozenset({TargetFault.SHED, TargetFault.SHED_WITHOUT_PROOF})
+
+
 @dataclass(frozen=True, slots=True)
 class CallRun:
     """Represent one call that a target started to run."""
@@ -166,10 +170,12 @@
             return True
         call_headers = {"X-Baobabring-Attempt-Id": call_id}
         is_full = self.running_calls >= self.slots
-        is_refused = is_full or self.fault is TargetFault.SHED
+        is_refused = is_full or self.fault in REFUSING_FAULTS
         self._record_request(call_id, self.retry_after if is_refused else None)
         if is_refused:
-            refusal_headers = {**call_headers, "X-Baobabring-Not-Executed": "1"}
+            refusal_headers = dict(call_headers)
+            if self.fault is not TargetFault.SHED_WITHOUT_PROOF:
+                refusal_headers["X-Baobabring-Not-Executed"] = "1"
             if self.retry_after is not None:
                 refusal_headers["Retry-After"] = self.retry_after
             self._write_response(writer, 503, refusal_headers)
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
@@ -96,10 +96,11 @@
 
 
 # Guards against requests to a target in the time for which it wants none.
-async def test_target_that_refuses_is_left_alone_for_the_time_it_states(fleet):
+@pytest.mark.parametrize("fault", [TargetFault.SHED, TargetFault.SHED_WITHOUT_PROOF])
+async def test_target_that_refuses_is_left_alone_for_the_time_it_states(fleet, fault):
     paused = fleet.targets[0]
     await send_calls(fleet, 0.5)
-    paused.fault = TargetFault.SHED
+    paused.fault = fault
     paused.retry_after = "2"
     async with asyncio.timeout(5.0):
         while not fleet.instances[0].read_log_lines("target wants a pause"):
