Name the kinds of responses by what they are

LimitSource served for pauses and leaving too; it is ResponseKind now, and the source in log lines stays as it was.

--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -60,8 +60,8 @@
     LimitAnnouncement,
     LimitChange,
     LimitNamed,
-    LimitSource,
     LimitUnreadable,
+    ResponseKind,
     TargetLimit,
     TargetLimits,
 )
@@ -119,7 +119,7 @@
     "LimitChange",
     "LimitNamed",
     "LimitNotice",
-    "LimitSource",
+    "ResponseKind",
     "LimitUnreadable",
     "LoadReport",
     "NotRun",
--- a/packages/baobabring/baobabring/entry/_target_limits.py
+++ b/packages/baobabring/baobabring/entry/_target_limits.py
@@ -18,8 +18,8 @@
 RECHECK_AGE_S = 2.0
 
 
-class LimitSource(StrEnum):
-    """Represent the kinds of responses that can name a limit."""
+class ResponseKind(StrEnum):
+    """Represent the kinds of requests whose responses can have announcements."""
 
     CALL = "call"
     PROBE = "probe"
@@ -58,7 +58,7 @@
     started_at_ms: int
     requests_per_s: float | None
     heard_at_s: float
-    named_in: set[LimitSource] = field(default_factory=set)
+    named_in: set[ResponseKind] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +103,7 @@
     def is_recheck_due(self, target: EntryTarget, now_s: float) -> bool:
         """Return whether a probe should find out whether a limit still holds."""
         limit = self._known(target.target_id, target.started_at_ms)
-        if limit is None or LimitSource.PROBE not in limit.named_in:
+        if limit is None or ResponseKind.PROBE not in limit.named_in:
             return False
         return now_s - limit.heard_at_s > RECHECK_AGE_S
 
@@ -111,7 +111,7 @@
         self,
         target: EntryTarget,
         announcement: LimitAnnouncement,
-        source: LimitSource,
+        response_kind: ResponseKind,
         sent_at_s: float,
         now_s: float,
     ) -> LimitChange | None:
@@ -124,11 +124,11 @@
         match announcement:
             case LimitNamed(requests_per_s):
                 heard.requests_per_s = requests_per_s
-                heard.named_in = {source}
+                heard.named_in = {response_kind}
             case LimitUnreadable() if known_per_s is not None:
                 # The target still has a limit, whichever it is.
                 heard.requests_per_s = known_per_s
-            case LimitAbsent() if self._has_ended(target, source, sent_at_s):
+            case LimitAbsent() if self._has_ended(target, response_kind, sent_at_s):
                 pass
             case _:
                 return None
@@ -152,7 +152,7 @@
             notice.started_at_ms,
             notice.requests_per_s,
             heard_at_s,
-            {source for source in LimitSource if source.value in notice.named_in},
+            {kind for kind in ResponseKind if kind.value in notice.named_in},
         )
         return self._replace(heard, now_s, report=pass_on)
 
@@ -196,7 +196,7 @@
         return limit
 
     def _has_ended(
-        self, target: EntryTarget, source: LimitSource, sent_at_s: float
+        self, target: EntryTarget, response_kind: ResponseKind, sent_at_s: float
     ) -> bool:
         """Return whether a response that names no limit shows that one has ended.
 
@@ -206,7 +206,7 @@
         limit = self._known(target.target_id, target.started_at_ms)
         if limit is None or limit.requests_per_s is None:
             return False
-        return source in limit.named_in and sent_at_s >= limit.heard_at_s
+        return response_kind in limit.named_in and sent_at_s >= limit.heard_at_s
 
     def _replace(
         self, heard: TargetLimit, now_s: float, report: bool
--- a/packages/baobabring/baobabring/entry/tests/test_target_limits.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_limits.py
@@ -7,14 +7,14 @@
     LimitChange,
     LimitNamed,
     LimitNotice,
-    LimitSource,
     LimitUnreadable,
+    ResponseKind,
     TargetLimits,
 )
 from baobabring.entry.tests.builders import build_target
 
-CALL = LimitSource.CALL
-PROBE = LimitSource.PROBE
+CALL = ResponseKind.CALL
+PROBE = ResponseKind.PROBE
 TARGET = build_target()
 
 
--- a/packages/baobabring/baobabring/entry/tests/test_target_pauses.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_pauses.py
@@ -7,7 +7,7 @@
 from baobabring.entry import (
     FleetShares,
     LimitNamed,
-    LimitSource,
+    ResponseKind,
     TargetGate,
     TargetLimits,
     TargetPauses,
@@ -65,7 +65,7 @@
     gate = build_gate(pauses)
     announcement = LimitNamed(0.1)
     limits = gate.rate_limiter.limits
-    limits.record(TARGET, announcement, LimitSource.PROBE, 0.0, 0.0)
+    limits.record(TARGET, announcement, ResponseKind.PROBE, 0.0, 0.0)
     pauses.pause(TARGET, 4.0)
     assert gate.connect_at_s(TARGET, 0.0) == pytest.approx(10.0)
     pauses.pause(TARGET, 20.0)
--- a/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_ranker.py
@@ -8,8 +8,8 @@
     ColdStartLimiter,
     FleetShares,
     LimitNamed,
-    LimitSource,
     RankerSettings,
+    ResponseKind,
     TargetGate,
     TargetLimits,
     TargetPauses,
@@ -210,7 +210,7 @@
         target = ranker.target_table.get_record(f"t-{number}").target
         announcement = LimitNamed(per_s)
         limits = ranker.gate.rate_limiter.limits
-        limits.record(target, announcement, LimitSource.PROBE, 0.0, 0.0)
+        limits.record(target, announcement, ResponseKind.PROBE, 0.0, 0.0)
 
 
 def test_only_one_limited_target_is_probed_for_a_call(ranker):
--- a/packages/baobabring/baobabring/entry/tests/test_target_rate_limiter.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_rate_limiter.py
@@ -8,14 +8,14 @@
     FleetShares,
     LimitAbsent,
     LimitNamed,
-    LimitSource,
+    ResponseKind,
     TargetLimits,
     TargetRateLimiter,
 )
 from baobabring.entry.tests.builders import build_target
 
 TARGET = build_target()
-PROBE = LimitSource.PROBE
+PROBE = ResponseKind.PROBE
 
 
 def build_limiter(name, instance_ids=None) -> TargetRateLimiter:
--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -17,8 +17,8 @@
     BodyEnd,
     CallProblem,
     EntryCall,
-    LimitSource,
     Offer,
+    ResponseKind,
     TargetRanker,
     TargetResponse,
 )
@@ -120,9 +120,9 @@
             assignment.record.record_load(load, now_s)
         target = assignment.record.target
         if is_of_expected_target(response):
-            self.target_observer.observe(target, response, LimitSource.CALL, sent_at_s)
+            self.target_observer.observe(target, response, ResponseKind.CALL, sent_at_s)
         else:
-            self.target_observer.observe_pause(target, response, LimitSource.CALL)
+            self.target_observer.observe_pause(target, response, ResponseKind.CALL)
         return self._read_response(call, assignment, response, now_s - sent_at_s)
 
     def _read_response(
--- a/packages/baobabring/baobabring/program/entry/_limit_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_limit_observer.py
@@ -11,8 +11,8 @@
     LimitAnnouncement,
     LimitChange,
     LimitNotice,
-    LimitSource,
     LimitUnreadable,
+    ResponseKind,
     TargetLimits,
 )
 from baobabring.platform.wire import parse_limit
@@ -45,17 +45,19 @@
         self,
         target: EntryTarget,
         response: HttpResponse,
-        source: LimitSource,
+        response_kind: ResponseKind,
         sent_at_s: float,
     ) -> None:
         """Record what a response of a target says about its limit."""
         now_s = self.clock.now_s()
         announcement = parse_limit(response)
-        change = self.limits.record(target, announcement, source, sent_at_s, now_s)
+        change = self.limits.record(
+            target, announcement, response_kind, sent_at_s, now_s
+        )
         if isinstance(announcement, LimitUnreadable):
-            self._log_unreadable(target, announcement, source)
+            self._log_unreadable(target, announcement, response_kind)
         if change is not None:
-            self._log_change(change, source, now_s - sent_at_s)
+            self._log_change(change, response_kind, now_s - sent_at_s)
 
     def apply_notice(self, notice: LimitNotice, pass_on: bool) -> None:
         """Record what a peer heard of a target's limit; with `pass_on`, tell others."""
@@ -66,11 +68,11 @@
 
     def count_call(self, target: EntryTarget) -> None:
         """Count a call that is sent to a target."""
-        self._count(target, self._calls, LimitSource.CALL)
+        self._count(target, self._calls, ResponseKind.CALL)
 
     def count_probe(self, target: EntryTarget) -> None:
         """Count a probe that is sent to a target."""
-        self._count(target, self._probes, LimitSource.PROBE)
+        self._count(target, self._probes, ResponseKind.PROBE)
 
     def tick(self) -> None:
         """Expire limits, and log what was sent to the limited targets since."""
@@ -90,12 +92,12 @@
         self._probes.clear()
 
     def _count(
-        self, target: EntryTarget, counter: Counter[str], kind: LimitSource
+        self, target: EntryTarget, counter: Counter[str], request_kind: ResponseKind
     ) -> None:
         if self.limits.requests_per_s(target) is None:
             return
         counter[target.target_id] += 1
-        LIMITED_REQUESTS.labels(kind.value).inc()
+        LIMITED_REQUESTS.labels(request_kind.value).inc()
 
     def _log_change(
         self,
@@ -115,7 +117,10 @@
         )
 
     def _log_unreadable(
-        self, target: EntryTarget, announcement: LimitAnnouncement, source: LimitSource
+        self,
+        target: EntryTarget,
+        announcement: LimitAnnouncement,
+        response_kind: ResponseKind,
     ) -> None:
         LIMIT_ANNOUNCEMENTS.labels("unreadable").inc()
         if self._unreadable.get(target.target_id) == announcement.value:
@@ -125,7 +130,7 @@
             "target limit is unreadable, the one before stays in force",
             target=target.target_id,
             value=announcement.value,
-            source=source,
+            source=response_kind,
             per_s=self.limits.requests_per_s(target),
         )
 
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -11,7 +11,7 @@
     HttpConnection,
     HttpResponse,
 )
-from baobabring.entry import HealthReport, LimitSource, TargetRanker, TargetRecord
+from baobabring.entry import HealthReport, ResponseKind, TargetRanker, TargetRecord
 from baobabring.platform.wire import (
     CALL_ID_HEADER,
     build_health_request,
@@ -135,11 +135,11 @@
         if report is None:
             # Another target may have the address now.
             connection.close()
-            self.target_observer.observe_pause(target, response, LimitSource.PROBE)
+            self.target_observer.observe_pause(target, response, ResponseKind.PROBE)
             record.mark_unreachable(self.clock.now_s())
             return None
         record.record_report(report, self.clock.now_s())
-        self.target_observer.observe(target, response, LimitSource.PROBE, probed_at_s)
+        self.target_observer.observe(target, response, ResponseKind.PROBE, probed_at_s)
         return ProbeResponse(report, target.address, connection)
 
     async def _connect_only(self, record: TargetRecord) -> ProbeResponse | None:
