--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_limits.py
@@ -79,8 +79,8 @@
     await send_load(fleet, "/menu/1", 3.0)
     for target in limited:
         target.limit = None
-    # A probe after 2 s without a confirmation and a permit each 2 s, then the way by the
-    # reader with two seconds' pause.
+    # A probe after 2 s without a confirmation, a permit each 2 s, and the way by the
+    # reader with two pauses of 1 s.
     await send_load(fleet, "/menu/1", 8.0)
     statuses = await send_load(fleet, "/menu/1", 1.0)
     assert set(statuses) == {200}
