--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -51,6 +51,12 @@
 from baobabring.entry._read_schedule import ReadSchedule, reader_sort_key
 from baobabring.entry._retry_budget import FleetRetryBudget
 from baobabring.entry._routes import RouteTable, WeightedRoundRobin
+from baobabring.entry._service_reachability import (
+    ProbeFailure,
+    ServiceLost,
+    ServiceReachability,
+    ServiceRegained,
+)
 from baobabring.entry._settings import EntrySettings, FleetLimits
 from baobabring.entry._shared_view import FleetStatus, SharedView
 from baobabring.entry._target_gate import TargetGate
@@ -155,4 +161,8 @@
     "ZoneTakenOut",
     "hedge_at_s",
     "reader_sort_key",
+    "ProbeFailure",
+    "ServiceLost",
+    "ServiceReachability",
+    "ServiceRegained",
 ]
--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -34,6 +34,7 @@
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._metrics import ENTRY_ATTEMPTS, ENTRY_STREAMS
 from baobabring.program.entry._progress import CallProgress
+from baobabring.program.entry._reachability_observer import ReachabilityObserver
 from baobabring.program.entry._target_observer import TargetObserver
 from baobabring.program.entry._wait_queue import Assignment
 from baobabring.utils import Clock
@@ -60,6 +61,7 @@
         ranker: TargetRanker,
         failure_counts: FailureCounts,
         target_observer: TargetObserver,
+        reachability_observer: ReachabilityObserver,
         pool: ConnectionPool,
         body_memory: BodyMemory,
         clock: Clock,
@@ -67,6 +69,7 @@
         self.ranker = ranker
         self.failure_counts = failure_counts
         self.target_observer = target_observer
+        self.reachability_observer = reachability_observer
         self.pool = pool
         self.body_memory = body_memory
         self.clock = clock
@@ -120,6 +123,7 @@
             assignment.record.record_load(load, now_s)
         target = assignment.record.target
         if is_of_expected_target(response):
+            self.reachability_observer.record_response(target)
             self.target_observer.observe(target, response, ResponseKind.CALL, sent_at_s)
         else:
             self.target_observer.observe_pause(target, response, ResponseKind.CALL)
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -21,6 +21,7 @@
     ProbeRateBudget,
     RankerSettings,
     ReadSchedule,
+    ServiceReachability,
     SharedView,
     TargetGate,
     TargetLimits,
@@ -48,6 +49,7 @@
 from baobabring.program.entry._metrics import BODY_BYTES, TARGETS, VIEW_AGE
 from baobabring.program.entry._peer_messages import ENTRY_MESSAGES
 from baobabring.program.entry._peer_task import PeerTask
+from baobabring.program.entry._reachability_observer import ReachabilityObserver
 from baobabring.program.entry._server import HttpServer
 from baobabring.program.entry._settings_task import SettingsTask
 from baobabring.program.entry._supervision import supervise
@@ -133,6 +135,10 @@
             self.limit_observer, self.peer_task, self.link, self.clock
         )
         target_observer = TargetObserver(self.limit_observer, self.pauses, self.clock)
+        self.reachability = ServiceReachability()
+        reachability_observer = ReachabilityObserver(
+            self.reachability, self.target_table, self.clock
+        )
         self.retry_budget = FleetRetryBudget(settings.limits)
         self.pool = ConnectionPool()
         admission = Admission(rng)
@@ -144,6 +150,7 @@
                 admission,
                 self.probe_budget,
                 target_observer,
+                reachability_observer,
                 self.pool,
                 self.clock,
             ),
@@ -151,6 +158,7 @@
                 self.ranker,
                 self.failure_counts,
                 target_observer,
+                reachability_observer,
                 self.pool,
                 body_memory,
                 self.clock,
@@ -237,6 +245,7 @@
             self.ranker.configuration = view.configuration
             self.call_runner.set_configuration(view.configuration)
             self._apply_caller_limits(view.configuration.limits)
+            self.reachability.keep_services(view.configuration.services)
         removed = self.target_table.set_targets(
             view.targets.values(), view.zones_out, now_s
         )
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -25,6 +25,14 @@
 )
 BODY_BYTES = Gauge("baobabring_entry_body_bytes", "Bytes of bodies held for callers.")
 PROBES = Counter("baobabring_entry_probes_total", "Probes of targets for their health.")
+PROBE_FAILURES = Counter(
+    "baobabring_entry_probe_failures_total",
+    "Probes without a response from their target, by reason.",
+    ("reason",),
+)
+LOST_SERVICES = Gauge(
+    "baobabring_entry_lost_services", "Services none of whose targets can be reached."
+)
 LIMIT_ANNOUNCEMENTS = Counter(
     "baobabring_entry_limit_announcements_total",
     "Changes of targets' rate limits and unreadable announcements of them.",
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -11,13 +11,20 @@
     HttpConnection,
     HttpResponse,
 )
-from baobabring.entry import HealthReport, ResponseKind, TargetRanker, TargetRecord
+from baobabring.entry import (
+    HealthReport,
+    ProbeFailure,
+    ResponseKind,
+    TargetRanker,
+    TargetRecord,
+)
 from baobabring.platform.wire import (
     CALL_ID_HEADER,
     build_health_request,
     parse_health_response,
 )
 from baobabring.program.entry._metrics import PROBES
+from baobabring.program.entry._reachability_observer import ReachabilityObserver
 from baobabring.program.entry._target_observer import TargetObserver
 from baobabring.utils import Clock
 
@@ -28,6 +35,8 @@
 INSUFFICIENT_WAIT_S = 0.03
 MAX_WAIT_S = 0.06
 PROBE_TIMEOUT_S = 0.15
+# Ends before the probe's time, so that the cause of a failure is known.
+PROBE_CONNECT_TIMEOUT_S = 0.13
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,11 +56,13 @@
         ranker: TargetRanker,
         pool: ConnectionPool,
         target_observer: TargetObserver,
+        reachability_observer: ReachabilityObserver,
         clock: Clock,
     ) -> None:
         self.ranker = ranker
         self.pool = pool
         self.target_observer = target_observer
+        self.reachability_observer = reachability_observer
         self.clock = clock
 
     async def probe(
@@ -126,18 +137,18 @@
         except TimeoutError:
             # The idle connections to the target may be dead as well.
             self.pool.close_idle_to(target.address)
-            record.mark_unreachable(self.clock.now_s())
-            return None
-        except (ConnectError, ExchangeError):
-            record.mark_unreachable(self.clock.now_s())
-            return None
+            return self._on_failure(record, ProbeFailure.NO_RESPONSE)
+        except ConnectError:
+            return self._on_failure(record, ProbeFailure.NOT_CONNECTED)
+        except ExchangeError:
+            return self._on_failure(record, ProbeFailure.CONNECTION_LOST)
         report = parse_health_response(response, target.target_id, probed_at_s)
         if report is None:
             # Another target may have the address now.
             connection.close()
             self.target_observer.observe_pause(target, response, ResponseKind.PROBE)
-            record.mark_unreachable(self.clock.now_s())
-            return None
+            return self._on_failure(record, ProbeFailure.OTHER_TARGET)
+        self.reachability_observer.record_response(target)
         record.record_report(report, self.clock.now_s())
         self.target_observer.observe(target, response, ResponseKind.PROBE, probed_at_s)
         return ProbeResponse(report, target.address, connection)
@@ -146,14 +157,17 @@
         """Open a connection to a target that may not be probed, to prove it alive."""
         address = record.target.address
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                connection = await self.pool.open(address)
-        except (TimeoutError, ConnectError):
-            record.mark_unreachable(self.clock.now_s())
-            return None
+            connection = await self.pool.open(address, PROBE_CONNECT_TIMEOUT_S)
+        except ConnectError:
+            return self._on_failure(record, ProbeFailure.NOT_CONNECTED)
+        self.reachability_observer.record_response(record.target)
         report = self.ranker.assume_report(record, self.clock.now_s())
         return ProbeResponse(report, address, connection)
 
+    def _on_failure(self, record: TargetRecord, failure: ProbeFailure) -> None:
+        record.mark_unreachable(self.clock.now_s())
+        self.reachability_observer.record_failure(record.target, failure)
+
     async def _exchange(
         self, address: str, request: bytes
     ) -> tuple[HttpConnection, HttpResponse]:
@@ -164,7 +178,7 @@
             except ExchangeError:
                 # The target may have closed the connection while it was idle.
                 pass
-        connection = await self.pool.open(address)
+        connection = await self.pool.open(address, PROBE_CONNECT_TIMEOUT_S)
         return connection, await self._send(connection, request)
 
     async def _send(self, connection: HttpConnection, request: bytes) -> HttpResponse:
--- a/packages/baobabring/baobabring/program/entry/_target_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_target_chooser.py
@@ -15,6 +15,7 @@
 )
 from baobabring.program.entry._prober import Prober, ProbeResponse
 from baobabring.program.entry._progress import CallProgress
+from baobabring.program.entry._reachability_observer import ReachabilityObserver
 from baobabring.program.entry._target_observer import TargetObserver
 from baobabring.program.entry._wait_queue import Assignment, WaitQueue, assign
 from baobabring.utils import Clock
@@ -34,6 +35,7 @@
         admission: Admission,
         probe_budget: ProbeRateBudget,
         target_observer: TargetObserver,
+        reachability_observer: ReachabilityObserver,
         pool: ConnectionPool,
         clock: Clock,
     ) -> None:
@@ -41,7 +43,9 @@
         self.admission = admission
         self.probe_budget = probe_budget
         self.clock = clock
-        self.prober = Prober(ranker, pool, target_observer, clock)
+        self.prober = Prober(
+            ranker, pool, target_observer, reachability_observer, clock
+        )
         self.wait_queue = WaitQueue(ranker, admission, self.prober, probe_budget, clock)
 
     async def choose(self, progress: CallProgress) -> Assignment | RefuseCall:
