--- a/packages/baobabstandins/baobabstandins/usersplatform/__init__.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/__init__.py
@@ -1,6 +1,11 @@
 """Stand-ins for the users' platform and its targets, and a fleet that uses them."""
 
-from baobabstandins.usersplatform._fleet import EntryFleet, EntryProcess, build_rule
+from baobabstandins.usersplatform._fleet import (
+    ENTRY_PROGRAM,
+    EntryFleet,
+    EntryProcess,
+    build_rule,
+)
 from baobabstandins.usersplatform._limits import (
     allowed_requests,
     most_requests_in_window,
@@ -14,6 +19,7 @@
 )
 
 __all__ = [
+    "ENTRY_PROGRAM",
     "CallRun",
     "EntryFleet",
     "EntryProcess",
--- /dev/null
+++ b/packages/baobabstandins/baobabstandins/usersplatform/cut_entry.py
@@ -0,0 +1,93 @@
+"""Entry program whose links to targets can be cut, by a mode in a file and SIGUSR2.
+
+Callers, the store and the other instances still reach it.
+"""
+
+import asyncio
+import os
+import runpy
+import signal
+import tomllib
+from enum import StrEnum
+from pathlib import Path
+from weakref import WeakSet
+
+from baobabring.connections import ConnectError, ConnectionPool, HttpConnection
+from baobabring.connections._pool import CONNECT_TIMEOUT_S
+from baobabring.platform.node_settings import SETTINGS_VARIABLE
+
+MODE_SUFFIX = ".links"
+
+
+class LinkMode(StrEnum):
+    """Represent what happens to connections to targets."""
+
+    SOUND = "sound"
+    # Nothing passes, and nothing says so.
+    SILENT = "silent"
+    # Connections are reset, and new ones too.
+    RESET = "reset"
+    # Open connections live on, new ones are refused.
+    NEW_REFUSED = "new-refused"
+
+
+class CuttableLinks:
+    """Replace the opening and use of connections to all addresses but the store's."""
+
+    def __init__(self, settings_path: Path) -> None:
+        settings = tomllib.loads(settings_path.read_text())
+        self.store_address = settings["platform"]["platform"]["address"]
+        self.mode_path = settings_path.with_suffix(MODE_SUFFIX)
+        self.mode = LinkMode.SOUND
+        self.connections: WeakSet[HttpConnection] = WeakSet()
+
+    def install(self) -> None:
+        """Let the mode decide about all connections to targets from now on."""
+        links = self
+        open_connection = ConnectionPool.open
+        receive = HttpConnection.data_received
+        exchange = HttpConnection.exchange
+
+        async def open_unless_cut(pool, address, timeout_s=CONNECT_TIMEOUT_S):
+            if address == links.store_address:
+                return await open_connection(pool, address, timeout_s)
+            if links.mode is LinkMode.SILENT:
+                await asyncio.sleep(timeout_s)
+            if links.mode is not LinkMode.SOUND:
+                raise ConnectError(address)
+            connection = await open_connection(pool, address, timeout_s)
+            links.connections.add(connection)
+            return connection
+
+        def receive_unless_cut(connection, data):
+            if not links.is_silent(connection):
+                receive(connection, data)
+
+        def exchange_unless_cut(connection, *args, **kwargs):
+            if links.is_silent(connection):
+                args = (b"", *args[1:])
+            return exchange(connection, *args, **kwargs)
+
+        ConnectionPool.open = open_unless_cut
+        HttpConnection.data_received = receive_unless_cut
+        HttpConnection.exchange = exchange_unless_cut
+
+    def is_silent(self, connection: HttpConnection) -> bool:
+        """Return whether nothing passes on a connection."""
+        return self.mode is LinkMode.SILENT and connection in self.connections
+
+    def read_mode(self, *_: object) -> None:
+        """Change to the mode in the file."""
+        self.mode = LinkMode(self.mode_path.read_text())
+        if self.mode is LinkMode.RESET:
+            loop = asyncio.get_running_loop()
+            for connection in list(self.connections):
+                if not connection.closed:
+                    loop.call_soon(connection._transport.abort)
+
+
+if __name__ == "__main__":
+    cuttable_links = CuttableLinks(Path(os.environ[SETTINGS_VARIABLE]))
+    cuttable_links.install()
+    signal.signal(signal.SIGUSR2, cuttable_links.read_mode)
+    runpy.run_module("baobabring.program.entry", run_name="__main__")
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/calls.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/calls.py
@@ -3,7 +3,12 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from baobabstandins.usersplatform import EntryFleet, StandinTarget, build_rule
+from baobabstandins.usersplatform import (
+    ENTRY_PROGRAM,
+    EntryFleet,
+    StandinTarget,
+    build_rule,
+)
 
 MENU_RULE = build_rule("menu", "menuboard")
 FEES_RULE = build_rule("fees", "feedesk", idempotent=False)
@@ -20,10 +25,14 @@
 
 @asynccontextmanager
 async def run_fleet(
-    directory: Path, instance_count: int, targets_per_service: int, slots: int = 2
+    directory: Path,
+    instance_count: int,
+    targets_per_service: int,
+    slots: int = 2,
+    program: str = ENTRY_PROGRAM,
 ):
     """Run a fleet of both services, whose instances must end without errors."""
-    async with EntryFleet(directory, instance_count) as fleet:
+    async with EntryFleet(directory, instance_count, program) as fleet:
         for number in range(targets_per_service):
             menu = StandinTarget(f"i-m{number}", "menuboard", slots=slots)
             fees = StandinTarget(f"i-f{number}", "feedesk", slots=slots)
