--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -10,6 +10,17 @@
 from baobabring.entry._cold_start_limiter import ColdStartLimiter
 from baobabring.entry._estimates import WorkEstimates
 from baobabring.entry._fleet_shares import FleetShares
+from baobabring.entry._handover_messages import (
+    HandedOverCall,
+    HandoverBodyPart,
+    HandoverBodyRead,
+    HandoverCancel,
+    HandoverCheck,
+    HandoverResponse,
+    HandoverStatus,
+    LeavingTarget,
+)
+from baobabring.entry._handover_peers import HandoverPeer, HandoverPeers
 from baobabring.entry._hedging import hedge_at_s
 from baobabring.entry._instance_list import InstanceChanges, InstanceList
 from baobabring.entry._messages import (
@@ -165,4 +176,14 @@
     "ServiceLost",
     "ServiceReachability",
     "ServiceRegained",
+    "HandedOverCall",
+    "HandoverBodyPart",
+    "HandoverBodyRead",
+    "HandoverCancel",
+    "HandoverCheck",
+    "HandoverResponse",
+    "HandoverStatus",
+    "LeavingTarget",
+    "HandoverPeer",
+    "HandoverPeers",
 ]
--- a/packages/baobabring/baobabring/entry/_outcomes.py
+++ b/packages/baobabring/baobabring/entry/_outcomes.py
@@ -18,6 +18,7 @@
     TOO_LATE = "too-late"
     TARGETS_REFUSED = "targets-refused"
     TARGETS_LIMITED = "targets-limited"
+    TARGETS_UNREACHABLE = "targets-unreachable"
     CONNECTION_LOST = "connection-lost"
     BAD_ANSWER = "bad-answer"
     TIMEOUT = "timeout"
--- a/packages/baobabring/baobabring/entry/_service_reachability.py
+++ b/packages/baobabring/baobabring/entry/_service_reachability.py
@@ -60,6 +60,10 @@
         links = self._links.get(service_id)
         return links is not None and links.lost_at_s is not None
 
+    def is_doubtful(self, service_id: str) -> bool:
+        """Return whether a connection failed since any target responded."""
+        return service_id in self._links
+
     def lost_services(self) -> list[str]:
         """Return the services that are lost."""
         return [service_id for service_id in self._links if self.is_lost(service_id)]
--- a/packages/baobabring/baobabring/entry/_target_pauses.py
+++ b/packages/baobabring/baobabring/entry/_target_pauses.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from baobabring.entry._handover_messages import LeavingTarget
 from baobabring.entry._model import EntryTarget
 
 # Pauses are prolonged by up to this time, so that instances return one by one.
@@ -45,6 +46,14 @@
         """Leave a target alone for good; return whether that is new."""
         return self.pause(target, float("inf"))
 
+    def apply_leaving(self, leaving: LeavingTarget) -> None:
+        """Leave a target alone for good because a peer heard that it is leaving."""
+        self._end_s[leaving.target_id, leaving.started_at_ms] = float("inf")
+
+    def is_leaving(self, target: EntryTarget) -> bool:
+        """Return whether a target is left alone for good."""
+        return self.end_s(target) == float("inf")
+
     def remove_ended(self, now_s: float) -> None:
         """Remove the pauses that have ended."""
         self._end_s = {key: end for key, end in self._end_s.items() if end > now_s}
--- a/packages/baobabring/baobabring/peers/_codec.py
+++ b/packages/baobabring/baobabring/peers/_codec.py
@@ -1,7 +1,7 @@
 """Encoding of messages between instances into frames."""
 
 import zlib
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -31,6 +31,13 @@
     VIEW_REQUEST = 9
     VIEW_DELTA = 10
     TARGET_LIMITS = 11
+    HANDOVER_CHECK = 12
+    HANDOVER_STATUS = 13
+    HANDED_OVER_CALL = 14
+    HANDOVER_RESPONSE = 15
+    HANDOVER_BODY_PART = 16
+    HANDOVER_BODY_READ = 17
+    HANDOVER_CANCEL = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,9 +54,16 @@
     ----------
     type_by_kind : mapping of MessageKind to type
         Message types that the program knows, each a msgspec struct.
+    uncompressed : collection of MessageKind
+        Kinds that are sent as they are, since compression takes longer than it saves.
     """
 
-    def __init__(self, type_by_kind: Mapping[MessageKind, type]) -> None:
+    def __init__(
+        self,
+        type_by_kind: Mapping[MessageKind, type],
+        uncompressed: Collection[MessageKind] = (),
+    ) -> None:
+        self._uncompressed = frozenset(uncompressed)
         self._kind_by_type = {
             message_type: kind for kind, message_type in type_by_kind.items()
         }
@@ -63,7 +77,8 @@
         """Return the frame of a message."""
         kind = self._kind_by_type[type(message)]
         content = self._encoder.encode(message)
-        if len(content) < MIN_COMPRESSED_MESSAGE_BYTES:
+        is_short = len(content) < MIN_COMPRESSED_MESSAGE_BYTES
+        if is_short or kind in self._uncompressed:
             return bytes((PROTOCOL_VERSION, kind)) + content
         header = bytes((PROTOCOL_VERSION, kind | COMPRESSED_FLAG))
         return header + zlib.compress(content, COMPRESSION_LEVEL)
--- a/packages/baobabring/baobabring/program/_peer_link.py
+++ b/packages/baobabring/baobabring/program/_peer_link.py
@@ -51,17 +51,18 @@
         for address in self._addresses:
             self._send(address, frame, type(message).__name__)
 
-    def send(self, address: str, message: msgspec.Struct) -> None:
-        """Send a message to one peer."""
-        self._send(address, self.codec.encode(message), type(message).__name__)
+    def send(self, address: str, message: msgspec.Struct) -> bool:
+        """Send a message to one peer; return False if it was dropped."""
+        return self._send(address, self.codec.encode(message), type(message).__name__)
 
     def reconnect(self, address: str) -> None:
         """Open a new connection to a peer at the next send."""
         self.transport.reconnect(address)
 
-    def _send(self, address: str, frame: bytes, kind: str) -> None:
+    def _send(self, address: str, frame: bytes, kind: str) -> bool:
         sent = self.transport.send(address, frame)
         self._count("sent" if sent else "dropped", kind, len(frame))
+        return sent
 
     def _on_frame(self, frame: bytes) -> None:
         message = self.codec.decode(frame)
--- a/packages/baobabring/baobabring/program/entry/_call_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_call_runner.py
@@ -1,7 +1,7 @@
 """Processing of each call, from its arrival to its outcome and its log line."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import logbook
@@ -23,7 +23,7 @@
 from baobabring.platform.wire import parse_caller_headers
 from baobabring.program.entry._forwarder import Forwarder
 from baobabring.program.entry._metrics import ENTRY_CALL_SECONDS, ENTRY_CALLS
-from baobabring.program.entry._progress import CallProgress
+from baobabring.program.entry._progress import CallProgress, HandoverOrigin
 from baobabring.utils import Clock
 
 LOG = logbook.Logger("call")
@@ -70,6 +70,11 @@
         """Return the size limit of a request's body."""
         return self._configuration.limits.body_limit_bytes
 
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force."""
+        return self._configuration.version
+
     def set_configuration(self, configuration: EntryConfiguration) -> None:
         """Route new calls by a configuration."""
         self._configuration = configuration
@@ -79,12 +84,23 @@
             for route in configuration.routes
         }
 
-    def start(self, request: CallerRequest) -> asyncio.Future[EntryOutcome]:
-        """Start a call and return a future of its outcome."""
+    def start(
+        self, request: CallerRequest, origin: HandoverOrigin | None = None
+    ) -> asyncio.Future[EntryOutcome]:
+        """Start a call of a caller or a peer, and return a future of its outcome."""
         call = self._build_call(request)
         if not isinstance(call, EntryCall):
             return self._end_unforwarded(request, call)
-        return asyncio.ensure_future(self._run(call))
+        if origin is None:
+            return asyncio.ensure_future(self._run(CallProgress(call)))
+        deadline_s = min(call.deadline_s, origin.deadline_s)
+        progress = CallProgress(
+            replace(call, deadline_s=deadline_s),
+            tried_targets=origin.tried_targets,
+            handed_over_by=origin.peer_id,
+            lost_handovers=origin.lost_handovers,
+        )
+        return asyncio.ensure_future(self._run(progress))
 
     def on_caller_disconnect(self, task: asyncio.Task) -> None:
         """Cancel a call, unless it isn't idempotent and has been sent."""
@@ -95,8 +111,7 @@
             return
         task.cancel()
 
-    async def _run(self, call: EntryCall) -> EntryOutcome:
-        progress = CallProgress(call)
+    async def _run(self, progress: CallProgress) -> EntryOutcome:
         task = asyncio.current_task()
         self._progress[task] = progress
         self.in_progress += 1
@@ -105,7 +120,7 @@
             outcome = await self.forwarder.forward(progress)
         except Exception:
             # The call may have been sent before the error.
-            LOG.exception("call failed", call=call.call_id)
+            LOG.exception("call failed", call=progress.call.call_id)
             outcome = self._internal_outcome(progress)
         finally:
             self.in_progress -= 1
@@ -173,9 +188,10 @@
         call = progress.call
         now_s = self.clock.now_s()
         name = _outcome_name(outcome)
-        ENTRY_CALLS.labels(call.route.route_id, name).inc()
         took_s = now_s - call.arrived_at_s
-        ENTRY_CALL_SECONDS.labels(call.route.route_id).observe(took_s)
+        if progress.handed_over_by is None:
+            ENTRY_CALLS.labels(call.route.route_id, name).inc()
+            ENTRY_CALL_SECONDS.labels(call.route.route_id).observe(took_s)
         LOG.info(
             "call ended",
             call=call.call_id,
@@ -184,6 +200,8 @@
             route=call.route.route_id,
             service=call.service_id,
             tried=progress.tried_targets,
+            handed_over_by=progress.handed_over_by,
+            handed_over_to=progress.handed_over_to,
             took_ms=round(took_s * MS_PER_S, 1),
             probes=progress.probes,
             waited=progress.waited,
--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -18,6 +18,7 @@
     hedge_at_s,
 )
 from baobabring.program.entry._attempt_runner import AttemptRunner, is_failure
+from baobabring.program.entry._handover_client import HandoverClient, HandoverLost
 from baobabring.program.entry._progress import CallProgress
 from baobabring.program.entry._target_chooser import MIN_TIME_LEFT_S, TargetChooser
 from baobabring.program.entry._wait_queue import Assignment
@@ -33,12 +34,14 @@
         self,
         chooser: TargetChooser,
         attempts: AttemptRunner,
+        handovers: HandoverClient,
         admission: Admission,
         retry_budget: FleetRetryBudget,
         clock: Clock,
     ) -> None:
         self.chooser = chooser
         self.attempts = attempts
+        self.handovers = handovers
         self.admission = admission
         self.retry_budget = retry_budget
         self.clock = clock
@@ -49,8 +52,11 @@
         while True:
             assignment = await self.chooser.choose(progress)
             if isinstance(assignment, RefuseCall):
-                return self._refused_outcome(progress, assignment)
-            if not progress.tried_targets:
+                outcome = await self._hand_over_or_refuse(progress, assignment)
+                if outcome is not None:
+                    return outcome
+                continue
+            if not progress.attempts_made:
                 self.retry_budget.record_first_attempt(
                     call.service_id, self.clock.now_s()
                 )
@@ -59,6 +65,36 @@
             if outcome is not None:
                 return outcome
 
+    async def _hand_over_or_refuse(
+        self, progress: CallProgress, refusal: RefuseCall
+    ) -> EntryOutcome | None:
+        """Return the outcome of a call that is not sent here, None to try again.
+
+        A call that reaches no target is handed over, unless a peer did so already.
+        """
+        is_unreachable = refusal.reason == CallProblem.TARGETS_UNREACHABLE
+        if not is_unreachable or progress.handed_over_by is not None:
+            return self._refused_outcome(progress, refusal)
+        end = await self.handovers.hand_over(progress)
+        if end is None:
+            return self._refused_outcome(progress, refusal)
+        if isinstance(end, HandoverLost):
+            return self._outcome_after_lost_handover(progress, end)
+        if isinstance(end, NotRun) and progress.may_have_run:
+            return self._last_outcome(progress, progress.last_problem)
+        return end
+
+    def _outcome_after_lost_handover(
+        self, progress: CallProgress, end: HandoverLost
+    ) -> EntryOutcome | None:
+        progress.may_have_run = True
+        progress.last_problem = end.problem
+        progress.lost_handovers += 1
+        is_idempotent = progress.call.route.idempotent
+        if is_idempotent and self._try_spend_retry(progress):
+            return None
+        return self._last_outcome(progress, end.problem)
+
     # Attempts
 
     async def _attempt_with_hedge(
@@ -66,7 +102,7 @@
     ) -> AttemptEnd:
         """Attempt a call, and also at a second target if the first one is late."""
         call = progress.call
-        attempts_made = len(progress.tried_targets) + 1
+        attempts_made = progress.attempts_made + 1
         now_s = self.clock.now_s()
         at_s = hedge_at_s(call, now_s, assignment.offer.finish_ms, attempts_made)
         if at_s is None:
@@ -175,7 +211,7 @@
 
 def _may_attempt_again(progress: CallProgress, now_s: float) -> bool:
     call = progress.call
-    if len(progress.tried_targets) >= call.route.attempt_limit:
+    if progress.attempts_made >= call.route.attempt_limit:
         return False
     return now_s + MIN_TIME_LEFT_S < call.deadline_s
 
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -18,6 +18,7 @@
     EntrySettings,
     FleetRetryBudget,
     FleetShares,
+    HandoverPeers,
     ProbeRateBudget,
     RankerSettings,
     ReadSchedule,
@@ -44,8 +45,11 @@
 from baobabring.program.entry._call_runner import CallRunner
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._forwarder import Forwarder
+from baobabring.program.entry._handover_client import HandoverClient
+from baobabring.program.entry._handover_server import HandoverServer
 from baobabring.program.entry._limit_exchange import LimitExchange
 from baobabring.program.entry._limit_observer import LimitObserver
+from baobabring.program.entry._lost_service_prober import LostServiceProber
 from baobabring.program.entry._metrics import BODY_BYTES, TARGETS, VIEW_AGE
 from baobabring.program.entry._peer_messages import ENTRY_MESSAGES
 from baobabring.program.entry._peer_task import PeerTask
@@ -70,6 +74,7 @@
 SHUTDOWN_POLL_S = 0.05
 IDLE_TIMEOUT_MARGIN_S = 3.0
 MS_PER_S = 1_000
+SESSION_BITS = 48
 
 
 class EntryInstance:
@@ -144,16 +149,37 @@
         admission = Admission(rng)
         body_memory = BodyMemory(settings.body_memory_bytes)
         BODY_BYTES.set_function(lambda: body_memory.held_bytes)
+        session = rng.getrandbits(SESSION_BITS)
+        self.handover_peers = HandoverPeers(settings.zone, rng)
+        self.handover_client = HandoverClient(
+            settings.instance_id,
+            settings.peer_address,
+            session,
+            self.handover_peers,
+            self.reachability,
+            self.pauses,
+            body_memory,
+            self.link,
+            self.clock,
+        )
+        chooser = TargetChooser(
+            self.ranker,
+            admission,
+            self.probe_budget,
+            target_observer,
+            reachability_observer,
+            self.pool,
+            self.clock,
+        )
+        self.lost_service_prober = LostServiceProber(
+            self.reachability,
+            self.ranker,
+            chooser.prober,
+            self.probe_budget,
+            self.clock,
+        )
         forwarder = Forwarder(
-            TargetChooser(
-                self.ranker,
-                admission,
-                self.probe_budget,
-                target_observer,
-                reachability_observer,
-                self.pool,
-                self.clock,
-            ),
+            chooser,
             AttemptRunner(
                 self.ranker,
                 self.failure_counts,
@@ -163,11 +189,23 @@
                 body_memory,
                 self.clock,
             ),
+            self.handover_client,
             admission,
             self.retry_budget,
             self.clock,
         )
         self.call_runner = CallRunner(self.shared_view, forwarder, self.clock, rng)
+        self.handover_server = HandoverServer(
+            settings.instance_id,
+            settings.zone,
+            session,
+            self.call_runner,
+            self.reachability,
+            self.target_table,
+            self.pauses,
+            self.link,
+            self.clock,
+        )
         self.caller_server = HttpServer(
             create_caller_app(self.call_runner), settings.caller_address, listener
         )
@@ -216,6 +254,8 @@
                 ("peers", self.peer_task.run),
                 ("settings", self.settings_task.run),
                 ("housekeeping", self._run_housekeeping),
+                ("handovers", self.handover_client.run),
+                ("lost services", self.lost_service_prober.run),
             ):
                 group.create_task(supervise(name, run))
             group.create_task(self._start_accepting())
@@ -244,6 +284,7 @@
         if self.ranker.configuration is not view.configuration:
             self.ranker.configuration = view.configuration
             self.call_runner.set_configuration(view.configuration)
+            self.handover_client.configuration_version = view.configuration.version
             self._apply_caller_limits(view.configuration.limits)
             self.reachability.keep_services(view.configuration.services)
         removed = self.target_table.set_targets(
@@ -263,6 +304,9 @@
 
     def _on_instances_changed(self) -> None:
         instances = self.peer_task.live_addresses()
+        self.handover_peers.set_instances(
+            {i: a for i, a in instances.items() if i != self.settings.instance_id}
+        )
         self.ranker.instance_count = len(instances)
         self.schedule.set_instances(instances)
         # Peers that are only unreachable still use their shares of the fleet's limits.
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -33,6 +33,16 @@
 LOST_SERVICES = Gauge(
     "baobabring_entry_lost_services", "Services none of whose targets can be reached."
 )
+HANDOVERS = Counter(
+    "baobabring_entry_handovers_total",
+    "Calls for which no target could be reached, by what came of handing them over.",
+    ("end",),
+)
+HANDOVERS_TAKEN = Counter(
+    "baobabring_entry_handovers_taken_total",
+    "Calls that peers handed over, by whether this instance took them.",
+    ("decision",),
+)
 LIMIT_ANNOUNCEMENTS = Counter(
     "baobabring_entry_limit_announcements_total",
     "Changes of targets' rate limits and unreadable announcements of them.",
--- a/packages/baobabring/baobabring/program/entry/_peer_messages.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_messages.py
@@ -1,6 +1,13 @@
 """Messages that entry instances send to each other."""
 
 from baobabring.entry import (
+    HandedOverCall,
+    HandoverBodyPart,
+    HandoverBodyRead,
+    HandoverCancel,
+    HandoverCheck,
+    HandoverResponse,
+    HandoverStatus,
     InstanceAlive,
     TargetLimitNotices,
     ViewDelta,
@@ -18,5 +25,17 @@
         MessageKind.VIEW_REQUEST: ViewRequest,
         MessageKind.VIEW_DELTA: ViewDelta,
         MessageKind.TARGET_LIMITS: TargetLimitNotices,
-    }
+        MessageKind.HANDOVER_CHECK: HandoverCheck,
+        MessageKind.HANDOVER_STATUS: HandoverStatus,
+        MessageKind.HANDED_OVER_CALL: HandedOverCall,
+        MessageKind.HANDOVER_RESPONSE: HandoverResponse,
+        MessageKind.HANDOVER_BODY_PART: HandoverBodyPart,
+        MessageKind.HANDOVER_BODY_READ: HandoverBodyRead,
+        MessageKind.HANDOVER_CANCEL: HandoverCancel,
+    },
+    uncompressed=(
+        MessageKind.HANDED_OVER_CALL,
+        MessageKind.HANDOVER_RESPONSE,
+        MessageKind.HANDOVER_BODY_PART,
+    ),
 )
--- a/packages/baobabring/baobabring/program/entry/_target_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_target_chooser.py
@@ -42,6 +42,7 @@
         self.ranker = ranker
         self.admission = admission
         self.probe_budget = probe_budget
+        self.reachability = reachability_observer.reachability
         self.clock = clock
         self.prober = Prober(
             ranker, pool, target_observer, reachability_observer, clock
@@ -61,11 +62,30 @@
         refusal = self.admission.refuse_limited(call, opening_at_s, now_s)
         if refusal is not None:
             return refusal
+        if self.reachability.is_lost(call.service_id):
+            return self._refuse_unreachable(call)
+        decision: Assignment | RefuseCall | ProbeAgain = ProbeAgain(now_s)
         if not self.wait_queue.has_calls_ahead_of(call):
             decision = await self._probe_and_decide(progress, excluded_targets)
-            if not isinstance(decision, ProbeAgain):
-                return decision
-        return await self.wait_queue.wait(progress, excluded_targets)
+        if isinstance(decision, ProbeAgain) and not self._is_cut_off(progress):
+            decision = await self.wait_queue.wait(progress, excluded_targets)
+        if not isinstance(decision, Assignment) and self._is_cut_off(progress):
+            return self._refuse_unreachable(call)
+        return decision
+
+    def _is_cut_off(self, progress: CallProgress) -> bool:
+        """Return whether no target responded for a call, and some can't be reached."""
+        service_id = progress.call.service_id
+        if self.reachability.is_lost(service_id):
+            return True
+        return not progress.target_responded and self.reachability.is_doubtful(
+            service_id
+        )
+
+    def _refuse_unreachable(self, call: EntryCall) -> RefuseCall:
+        after_ms = call.route.latency_goal_ms / 2
+        reason = CallProblem.TARGETS_UNREACHABLE
+        return self.admission.refuse(call, after_ms, reason, self.clock.now_s())
 
     async def choose_hedge(self, progress: CallProgress) -> Assignment | None:
         """Return an assignment to a second target that has a free slot, else None."""
@@ -148,6 +168,7 @@
         for response in await self.prober.probe(
             records, service.health_path, is_sufficient
         ):
+            progress.target_responded = True
             responses[response.report.target_id] = response
             if response.report.load is not None:
                 self.ranker.estimates.record_slowdown(
--- a/packages/baobabring/baobabring/program/entry/_wait_queue.py
+++ b/packages/baobabring/baobabring/program/entry/_wait_queue.py
@@ -157,6 +157,7 @@
             if response.report.target_id not in waiter.excluded_targets
         ]
         call = waiter.progress.call
+        waiter.progress.target_responded |= bool(reports)
         offers = self.ranker.offers(call, reports, now_s)
         waiter.progress.offers = offers
         decision = self.admission.decide(call, offers, False, now_s)
--- a/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
+++ b/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
@@ -14,9 +14,17 @@
     EntryRoute,
     EntryService,
     EntryTarget,
+    HandedOverCall,
+    HandoverBodyPart,
+    HandoverBodyRead,
+    HandoverCancel,
+    HandoverCheck,
+    HandoverResponse,
+    HandoverStatus,
     InstanceAlive,
     InstanceChanges,
     InstanceList,
+    LeavingTarget,
     LimitNotice,
     SharedView,
     TargetLimitNotices,
@@ -34,6 +42,13 @@
 from baobabring.program.entry._peer_messages import ENTRY_MESSAGES
 
 ENTRY_MESSAGE_TYPES = (
+    HandedOverCall,
+    HandoverBodyPart,
+    HandoverBodyRead,
+    HandoverCancel,
+    HandoverCheck,
+    HandoverResponse,
+    HandoverStatus,
     InstanceAlive,
     TargetLimitNotices,
     ViewDelta,
@@ -164,6 +179,53 @@
         zones_out=["south"],
     ),
     "ViewRequest": ViewRequest(sender="i", reply_address="127.0.0.1:1"),
+    "HandoverCheck": HandoverCheck(sender="i", reply_address="127.0.0.1:1"),
+    "HandoverStatus": HandoverStatus(
+        sender="i",
+        session=1,
+        zone="north",
+        clock_s=2.0,
+        accepts=True,
+        lost_services=["a"],
+        configuration_version=7,
+    ),
+    "HandedOverCall": HandedOverCall(
+        sender="i",
+        reply_address="127.0.0.1:1",
+        sender_session=1,
+        session=2,
+        number=3,
+        arrived_at_s=4.0,
+        deadline_s=5.0,
+        configuration_version=7,
+        method="POST",
+        path="/menu/1",
+        headers=[(b"host", b"menu.example")],
+        body=b"x",
+        tried_targets=["t-1"],
+        lost_handovers=1,
+    ),
+    "HandoverResponse": HandoverResponse(
+        session=1,
+        number=3,
+        status=200,
+        problem="",
+        may_have_run=True,
+        retry_after_s=0.5,
+        headers=[(b"a", b"b")],
+        body=b"y",
+        has_stream=True,
+        length_bytes=6,
+        tried_targets=["t-1"],
+        leaving_targets=[LeavingTarget(target_id="t-1", started_at_ms=5)],
+    ),
+    "HandoverBodyPart": HandoverBodyPart(
+        session=1, number=3, data=b"z", end="complete"
+    ),
+    "HandoverBodyRead": HandoverBodyRead(
+        sender_session=1, session=2, number=3, read_bytes=4
+    ),
+    "HandoverCancel": HandoverCancel(sender_session=1, session=2, number=3),
 }
 MESSAGE_FRAMES = {
     "Heartbeat": (
@@ -199,6 +261,20 @@
         "70726f626595a3742d3205c0cb401800000000000090"
     ),
     "ViewRequest": "020992a169ab3132372e302e302e313a31",
+    "HandoverCheck": "020c92a169ab3132372e302e302e313a31",
+    "HandoverStatus": "020d97a16901a56e6f727468cb4000000000000000c391a16107",
+    "HandedOverCall": (
+        "020e9ea169ab3132372e302e302e313a31010203cb4010000000000000cb4014"
+        "00000000000007a4504f5354a72f6d656e752f319192c404686f7374c40c6d65"
+        "6e752e6578616d706c65c4017891a3742d3101"
+    ),
+    "HandoverResponse": (
+        "020f9c0103ccc8a0c3cb3fe00000000000009192c40161c40162c40179c30691"
+        "a3742d319192a3742d3105"
+    ),
+    "HandoverBodyPart": "0210940103c4017aa8636f6d706c657465",
+    "HandoverBodyRead": "02119401020304",
+    "HandoverCancel": "021293010203",
 }
 RECORDED_DIGESTS = (1710228617801480188, 13532897679264957911)
 
