--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -86,7 +86,7 @@
         progress.tried_targets.append(target.target_id)
         progress.sent = True
         self.ranker.record_call_sent(target.target_id, sent_at_s)
-        self.target_observer.limit_observer.count_call(target)
+        self.target_observer.count_request(target, ResponseKind.CALL)
         end: AttemptEnd = AttemptLost(CallProblem.CALLER_LEFT)
         try:
             end = await self._exchange(progress, assignment, request)
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -53,6 +53,11 @@
     "Targets that asked to be left alone, for a time or because they are leaving.",
     ("reason",),
 )
+UNWANTED_REQUESTS = Counter(
+    "baobabring_entry_unwanted_requests_total",
+    "Calls and probes sent to targets within a pause that they had asked for.",
+    ("kind",),
+)
 LIMITED_REQUESTS = Counter(
     "baobabring_entry_limited_requests_total",
     "Calls and probes sent to targets that announce a rate limit.",
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -130,7 +130,7 @@
             return await self._connect_only(record)
         request = build_health_request(health_path, target.address)
         PROBES.inc()
-        self.target_observer.limit_observer.count_probe(target)
+        self.target_observer.count_request(target, ResponseKind.PROBE)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 connection, response = await self._exchange(target.address, request)
--- a/packages/baobabring/baobabring/program/entry/_target_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_target_observer.py
@@ -1,5 +1,7 @@
 """Observation of what targets say of themselves in any of their responses."""
 
+from dataclasses import dataclass
+
 import logbook
 
 from baobabring.connections import HttpResponse
@@ -13,12 +15,23 @@
     unusual_header_names,
 )
 from baobabring.program.entry._limit_observer import LimitObserver
-from baobabring.program.entry._metrics import TARGET_PAUSES
+from baobabring.program.entry._metrics import TARGET_PAUSES, UNWANTED_REQUESTS
 from baobabring.utils import Clock
 
 LOG = logbook.Logger("targets")
 
 MAX_LOGGED_HEADERS = 30
+# Requests on their way when a refusal arrives are no mistake.
+REFUSAL_MARGIN_S = 0.5
+MAX_REMEMBERED_REFUSALS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Refusal:
+    """Represent when a target refused a request and until when it wants none."""
+
+    received_at_s: float
+    until_s: float
 
 
 class TargetObserver:
@@ -31,6 +44,7 @@
         self.pauses = pauses
         self.clock = clock
         self._logged_headers: set[bytes] = set()
+        self._refusals: dict[str, _Refusal] = {}
 
     def observe(
         self,
@@ -62,7 +76,9 @@
         wait_s = parse_retry_after_s(response)
         if wait_s is None:
             return
-        if self.pauses.pause(target, self.clock.now_s() + wait_s):
+        now_s = self.clock.now_s()
+        self._remember_refusal(target.target_id, _Refusal(now_s, now_s + wait_s))
+        if self.pauses.pause(target, now_s + wait_s):
             TARGET_PAUSES.labels("wait").inc()
             LOG.info(
                 "target wants a pause",
@@ -71,6 +87,37 @@
                 wait_s=wait_s,
             )
 
+    def count_request(self, target: EntryTarget, request_kind: ResponseKind) -> None:
+        """Count a call or a probe that is sent, and log one that is not wanted."""
+        if request_kind is ResponseKind.CALL:
+            self.limit_observer.count_call(target)
+        else:
+            self.limit_observer.count_probe(target)
+        refusal = self._refusals.get(target.target_id)
+        if refusal is None:
+            return
+        now_s = self.clock.now_s()
+        since_s = now_s - refusal.received_at_s
+        if since_s < REFUSAL_MARGIN_S or now_s >= refusal.until_s:
+            return
+        UNWANTED_REQUESTS.labels(request_kind.value).inc()
+        LOG.warning(
+            "request to a target that wants a pause",
+            target=target.target_id,
+            started_at_ms=target.started_at_ms,
+            kind=request_kind,
+            since_refusal_s=round(since_s, 3),
+            left_s=round(refusal.until_s - now_s, 3),
+        )
+
+    def _remember_refusal(self, target_id: str, refusal: _Refusal) -> None:
+        known = self._refusals.pop(target_id, None)
+        if known is not None and known.until_s > refusal.until_s:
+            refusal = known
+        self._refusals[target_id] = refusal
+        if len(self._refusals) > MAX_REMEMBERED_REFUSALS:
+            del self._refusals[next(iter(self._refusals))]
+
     def _log_if_unknown(self, name: bytes, response_kind: ResponseKind) -> None:
         """Log a header without a meaning here, each name once."""
         if is_announcement(name) or name in self._logged_headers:
