--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -14,6 +14,8 @@
 DOWNLOAD_PART_BYTES = 16 * 1024
 # Pause before the second copy of a response.
 SECOND_ANSWER_DELAY_S = 0.03
+# Longer than any call waits.
+STALL_S = 5.0
 
 
 class TargetFault(StrEnum):
@@ -26,10 +28,22 @@
     CUT_SHORT = "cut-short"
     SHED = "shed"
     SHED_WITHOUT_PROOF = "shed-without-proof"
+    # The body of a refusal breaks off, or does not come at all.
+    SHED_CUT_SHORT = "shed-cut-short"
+    SHED_STALLED = "shed-stalled"
     FAIL = "fail"
 
 
-REFUSING_FAULTS = frozenset({TargetFault.SHED, TargetFault.SHED_WITHOUT_PROOF})
+REFUSING_FAULTS = frozenset(
+    {
+        TargetFault.SHED,
+        TargetFault.SHED_WITHOUT_PROOF,
+        TargetFault.SHED_CUT_SHORT,
+        TargetFault.SHED_STALLED,
+    }
+)
+# Length that a refusal states whose body does not arrive whole.
+BROKEN_REFUSAL_BYTES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,8 +192,7 @@
                 refusal_headers["X-Baobabring-Not-Executed"] = "1"
             if self.retry_after is not None:
                 refusal_headers["Retry-After"] = self.retry_after
-            self._write_response(writer, 503, refusal_headers)
-            return True
+            return await self._refuse(writer, refusal_headers)
         time_left_ms = float(headers["x-baobabring-deadline-ms"])
         self.runs.append(CallRun(call_id, path, body, time.time(), time_left_ms))
         if not await self._run_call(reader):
@@ -188,6 +201,20 @@
             return await self._send_download(writer, call_headers)
         return self._finish_call(writer, call_headers, method)
 
+    async def _refuse(
+        self, writer: asyncio.StreamWriter, headers: dict[str, str]
+    ) -> bool:
+        """Refuse a call; return False if the connection ends with it."""
+        if self.fault is TargetFault.SHED_CUT_SHORT:
+            self._write_response(writer, 503, headers, length=BROKEN_REFUSAL_BYTES)
+            return False
+        if self.fault is TargetFault.SHED_STALLED:
+            self._write_response(writer, 503, headers, length=BROKEN_REFUSAL_BYTES)
+            await asyncio.sleep(STALL_S)
+            return False
+        self._write_response(writer, 503, headers)
+        return True
+
     def _record_request(
         self, call_id: str | None = None, stated_pause: str | None = None
     ) -> None:
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
@@ -99,6 +99,44 @@
     assert {status for status, _, _ in responses} == {200}
 
 
+async def refuse_until_paused(fleet, target, fault):
+    """Let a target refuse calls and want a pause of 2 s; return when it refused one."""
+    target.fault = fault
+    target.retry_after = "2"
+    async with asyncio.timeout(5.0):
+        while not any(r.stated_pause for r in target.requests):
+            await send_calls(fleet, 0.05)
+    first = next(r for r in target.requests if r.stated_pause)
+    target.fault = TargetFault.NONE
+    return first.received_at_s
+
+
+# Guards against a pause that is lost when the new start of its target becomes known.
+async def test_pause_holds_if_the_target_had_started_anew_unnoticed(fleet):
+    paused = fleet.targets[0]
+    await send_calls(fleet, 0.5)
+    paused.started_at_ms += 1_000
+    refused_at_s = await refuse_until_paused(fleet, paused, TargetFault.SHED)
+    paused.sequence = 0
+    paused.register(fleet.store)
+    await send_calls(fleet, 4.0)
+    assert len(requests_since(paused, refused_at_s + 0.5, refused_at_s + 2.0)) <= 2
+    assert requests_since(paused, refused_at_s + 2.0)
+
+
+# Guards against a pause that is missed because the refusal does not arrive whole.
+@pytest.mark.parametrize(
+    "fault", [TargetFault.SHED_CUT_SHORT, TargetFault.SHED_STALLED]
+)
+async def test_pause_holds_if_the_body_of_the_refusal_is_missing(fleet, fault):
+    paused = fleet.targets[0]
+    await send_calls(fleet, 0.5)
+    refused_at_s = await refuse_until_paused(fleet, paused, fault)
+    await send_calls(fleet, 4.0)
+    assert len(requests_since(paused, refused_at_s + 0.5, refused_at_s + 2.0)) <= 2
+    assert requests_since(paused, refused_at_s + 2.0)
+
+
 # Guards against refusals that state no true time to come back.
 async def test_callers_return_when_the_targets_take_calls_again(fleet):
     for target in fleet.targets:
