--- a/packages/baobabring/baobabring/entry/_target_pauses.py
+++ b/packages/baobabring/baobabring/entry/_target_pauses.py
@@ -12,52 +12,62 @@
 
 
 class TargetPauses:
-    """Maintain until when targets are left alone.
+    """Maintain until when targets are left alone, whether they are registered or not.
 
-    A pause belongs to one start of a target, and holds whether the target is registered
-    or not. That of a leaving target does not end.
+    A pause holds for all starts of a target, since the one that asked for it may not be
+    registered yet. Leaving belongs to one start, and does not end.
     """
 
     def __init__(self, rng: Random) -> None:
         self.rng = rng
-        self._end_s: dict[tuple[str, int], float] = {}
+        self._pause_end_s: dict[str, float] = {}
+        self._leaving: dict[tuple[str, int], None] = {}
 
     @property
     def has_any(self) -> bool:
         """Return whether any target may be left alone."""
-        return bool(self._end_s)
+        return bool(self._pause_end_s) or bool(self._leaving)
 
     def end_s(self, target: EntryTarget) -> float:
-        """Return when the pause of a target ends, minus infinity if it has none."""
-        return self._end_s.get(_key(target), float("-inf"))
+        """Return when a target is no longer left alone, minus infinity if it is not."""
+        if self.is_leaving(target):
+            return float("inf")
+        return self._pause_end_s.get(target.target_id, float("-inf"))
 
     def pause(self, target: EntryTarget, until_s: float) -> bool:
         """Leave a target alone until a time, at least; return whether that is new."""
-        known_end_s = self.end_s(target)
-        if until_s <= known_end_s:
+        if until_s <= self.end_s(target):
             return False
         prolongation_s = self.rng.uniform(0.0, MAX_PROLONGATION_S)
-        self._end_s[_key(target)] = until_s + prolongation_s
-        if len(self._end_s) > MAX_PAUSES:
-            del self._end_s[next(iter(self._end_s))]
+        self._pause_end_s[target.target_id] = until_s + prolongation_s
+        _drop_oldest(self._pause_end_s)
         return True
 
     def mark_leaving(self, target: EntryTarget) -> bool:
-        """Leave a target alone for good; return whether that is new."""
-        return self.pause(target, float("inf"))
+        """Leave one start of a target alone for good; return whether that is new."""
+        if self.is_leaving(target):
+            return False
+        self.apply_leaving(LeavingTarget(target.target_id, target.started_at_ms))
+        return True
 
     def apply_leaving(self, leaving: LeavingTarget) -> None:
-        """Leave a target alone for good because a peer heard that it is leaving."""
-        self._end_s[leaving.target_id, leaving.started_at_ms] = float("inf")
+        """Leave one start of a target alone for good because a peer heard of it."""
+        self._leaving[leaving.target_id, leaving.started_at_ms] = None
+        _drop_oldest(self._leaving)
 
     def is_leaving(self, target: EntryTarget) -> bool:
-        """Return whether a target is left alone for good."""
-        return self.end_s(target) == float("inf")
+        """Return whether a target said that it is leaving."""
+        return (target.target_id, target.started_at_ms) in self._leaving
 
     def remove_ended(self, now_s: float) -> None:
         """Remove the pauses that have ended."""
-        self._end_s = {key: end for key, end in self._end_s.items() if end > now_s}
+        self._pause_end_s = {
+            target_id: end_s
+            for target_id, end_s in self._pause_end_s.items()
+            if end_s > now_s
+        }
 
 
-def _key(target: EntryTarget) -> tuple[str, int]:
-    return target.target_id, target.started_at_ms
+def _drop_oldest(entries: dict) -> None:
+    if len(entries) > MAX_PAUSES:
+        del entries[next(iter(entries))]
--- a/packages/baobabring/baobabring/entry/tests/test_target_pauses.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_pauses.py
@@ -6,6 +6,7 @@
 
 from baobabring.entry import (
     FleetShares,
+    LeavingTarget,
     LimitNamed,
     ResponseKind,
     TargetGate,
@@ -83,3 +84,21 @@
     assert 4.0 <= gate.next_opening_at_s(records, 1.0) <= 4.5
     assert gate.keep_open(records, 1.0) == []
     assert gate.next_opening_at_s([], 1.0) == 1.0
+
+
+def test_pause_holds_for_a_start_that_is_registered_later(pauses):
+    pauses.pause(TARGET, 12.0)
+    assert pauses.end_s(build_target(started_at_ms=2_000)) >= 12.0
+    assert pauses.end_s(build_target("t-2")) == float("-inf")
+
+
+def test_leaving_of_an_earlier_start_does_not_hide_a_pause_of_the_next(pauses):
+    pauses.mark_leaving(TARGET)
+    assert pauses.pause(build_target(started_at_ms=2_000), 12.0)
+    assert pauses.end_s(build_target(started_at_ms=2_000)) < 13.0
+
+
+def test_leaving_that_a_peer_heard_of_holds_for_that_start(pauses):
+    pauses.apply_leaving(LeavingTarget(TARGET.target_id, TARGET.started_at_ms))
+    assert not pauses.mark_leaving(TARGET)
+    assert not pauses.is_leaving(build_target(started_at_ms=2_000))
