--- a/packages/baobabring/baobabring/connections/_connection.py
+++ b/packages/baobabring/baobabring/connections/_connection.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -93,6 +94,7 @@
     id_value: bytes | None
     headers_only: bool
     body_memory: BodyMemory | None
+    on_headers: Callable[[HttpResponse], None] | None
 
 
 class HttpConnection(asyncio.Protocol):
@@ -128,13 +130,15 @@
         id_header: bytes,
         id_value: bytes | None,
         body_memory: BodyMemory | None = None,
+        on_headers: Callable[[HttpResponse], None] | None = None,
     ) -> asyncio.Future[HttpResponse]:
         """Send a request and return a future of its response or an `ExchangeError`.
 
         If a response has the header `id_header`, its value must be `id_value`. With
         None, a response that has the header at all belongs to another call. With
         `body_memory`, a success whose body is long or takes long is returned with a
-        stream of its body.
+        stream of its body. `on_headers` is called with the response as soon as its
+        headers are complete, whether its body will be or not.
         """
         future = self._loop.create_future()
         if self.closed or self._exchange is not None:
@@ -142,7 +146,7 @@
             return future
         headers_only = request.startswith(HEAD_METHOD_PREFIX)
         self._exchange = _Exchange(
-            future, id_header, id_value, headers_only, body_memory
+            future, id_header, id_value, headers_only, body_memory, on_headers
         )
         self.used = True
         self._transport.write(request)
@@ -229,11 +233,20 @@
         )
         self._body_ends_at_close = not has_length and not bodiless
         is_last = response.status not in INFORMATIONAL_STATUSES
+        if is_last:
+            self._announce_headers(response)
         if is_last and self._exchange is not None and self._exchange.headers_only:
             self._finish_without_body(response)
         elif not bodiless and self._may_stream(response):
             self._create_stream(response)
 
+    def _announce_headers(self, response: HttpResponse) -> None:
+        exchange = self._exchange
+        if exchange is None or exchange.on_headers is None:
+            return
+        if not self._is_for_other_call(response):
+            exchange.on_headers(response)
+
     def _may_stream(self, response: HttpResponse) -> bool:
         return (
             self._exchange is not None
--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -106,10 +106,15 @@
         sent_at_s = self.clock.now_s()
         call_id = call.call_id.encode("latin-1")
         connection = assignment.probe_response.connection
+        target = assignment.record.target
+
+        def observe(response: HttpResponse) -> None:
+            self.target_observer.observe_call(target, response, sent_at_s)
+
         try:
             async with asyncio.timeout(call.deadline_s - sent_at_s):
                 response = await connection.exchange(
-                    request, CALL_ID_HEADER, call_id, self.body_memory
+                    request, CALL_ID_HEADER, call_id, self.body_memory, observe
                 )
         except TimeoutError:
             return AttemptLost(CallProblem.TIMEOUT)
@@ -121,12 +126,8 @@
         load = parse_load(response)
         if load is not None:
             assignment.record.record_load(load, now_s)
-        target = assignment.record.target
         if is_of_expected_target(response):
             self.reachability_observer.record_response(target)
-            self.target_observer.observe(target, response, ResponseKind.CALL, sent_at_s)
-        else:
-            self.target_observer.observe_pause(target, response, ResponseKind.CALL)
         return self._read_response(call, assignment, response, now_s - sent_at_s)
 
     def _read_response(
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -130,10 +130,16 @@
             return await self._connect_only(record)
         request = build_health_request(health_path, target.address)
         PROBES.inc()
+
+        def observe(response: HttpResponse) -> None:
+            self.target_observer.observe_probe(target, response, probed_at_s)
+
         self.target_observer.count_request(target, ResponseKind.PROBE)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                connection, response = await self._exchange(target.address, request)
+                connection, response = await self._exchange(
+                    target.address, request, observe
+                )
         except TimeoutError:
             # The idle connections to the target may be dead as well.
             self.pool.close_idle_to(target.address)
@@ -146,11 +152,9 @@
         if report is None:
             # Another target may have the address now.
             connection.close()
-            self.target_observer.observe_pause(target, response, ResponseKind.PROBE)
             return self._on_failure(record, ProbeFailure.OTHER_TARGET)
         self.reachability_observer.record_response(target)
         record.record_report(report, self.clock.now_s())
-        self.target_observer.observe(target, response, ResponseKind.PROBE, probed_at_s)
         return ProbeResponse(report, target.address, connection)
 
     async def _connect_only(self, record: TargetRecord) -> ProbeResponse | None:
@@ -169,21 +173,31 @@
         self.reachability_observer.record_failure(record.target, failure)
 
     async def _exchange(
-        self, address: str, request: bytes
+        self,
+        address: str,
+        request: bytes,
+        observe: Callable[[HttpResponse], None],
     ) -> tuple[HttpConnection, HttpResponse]:
         connection = self.pool.acquire_idle(address)
         if connection is not None:
             try:
-                return connection, await self._send(connection, request)
+                return connection, await self._send(connection, request, observe)
             except ExchangeError:
                 # The target may have closed the connection while it was idle.
                 pass
         connection = await self.pool.open(address, PROBE_CONNECT_TIMEOUT_S)
-        return connection, await self._send(connection, request)
+        return connection, await self._send(connection, request, observe)
 
-    async def _send(self, connection: HttpConnection, request: bytes) -> HttpResponse:
+    async def _send(
+        self,
+        connection: HttpConnection,
+        request: bytes,
+        observe: Callable[[HttpResponse], None],
+    ) -> HttpResponse:
         try:
-            return await connection.exchange(request, CALL_ID_HEADER, None)
+            return await connection.exchange(
+                request, CALL_ID_HEADER, None, on_headers=observe
+            )
         finally:
             if connection.busy:
                 connection.abandon()
--- a/packages/baobabring/baobabring/program/entry/_target_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_target_observer.py
@@ -8,8 +8,10 @@
 from baobabring.entry import EntryTarget, ResponseKind, TargetPauses
 from baobabring.platform.wire import (
     is_announcement,
+    is_of_expected_target,
     is_of_other_target,
     is_refusal,
+    parse_health_response,
     parse_retry_after_s,
     states_leaving,
     unusual_header_names,
@@ -46,7 +48,25 @@
         self._logged_headers: set[bytes] = set()
         self._refusals: dict[str, _Refusal] = {}
 
-    def observe(
+    def observe_call(
+        self, target: EntryTarget, response: HttpResponse, sent_at_s: float
+    ) -> None:
+        """Record what the headers of a response to a call say of its target."""
+        if is_of_expected_target(response):
+            self._observe(target, response, ResponseKind.CALL, sent_at_s)
+        else:
+            self._observe_pause(target, response, ResponseKind.CALL)
+
+    def observe_probe(
+        self, target: EntryTarget, response: HttpResponse, sent_at_s: float
+    ) -> None:
+        """Record what the headers of a response to a probe say of its target."""
+        if parse_health_response(response, target.target_id, sent_at_s) is not None:
+            self._observe(target, response, ResponseKind.PROBE, sent_at_s)
+        else:
+            self._observe_pause(target, response, ResponseKind.PROBE)
+
+    def _observe(
         self,
         target: EntryTarget,
         response: HttpResponse,
@@ -59,11 +79,11 @@
         if unusual_names or self.limit_observer.limits:
             self.limit_observer.observe(target, response, response_kind, sent_at_s)
         if unusual_names or is_refusal(response):
-            self.observe_pause(target, response, response_kind)
+            self._observe_pause(target, response, response_kind)
         for name in unusual_names:
             self._log_if_unknown(name, response_kind)
 
-    def observe_pause(
+    def _observe_pause(
         self, target: EntryTarget, response: HttpResponse, response_kind: ResponseKind
     ) -> None:
         """Record whether a target wants to be left alone, if it sent the response."""
