--- a/packages/baobabring/baobabring/connections/__init__.py
+++ b/packages/baobabring/baobabring/connections/__init__.py
@@ -2,6 +2,7 @@
 
 from baobabring.connections._body import BodyMemory, ReceivedBody
 from baobabring.connections._connection import (
+    INVALID_RESPONSE_FAILURES,
     ExchangeError,
     ExchangeFailure,
     HttpConnection,
@@ -10,6 +11,7 @@
 from baobabring.connections._pool import ConnectError, ConnectionPool
 
 __all__ = [
+    "INVALID_RESPONSE_FAILURES",
     "BodyMemory",
     "ConnectError",
     "ConnectionPool",
--- a/packages/baobabring/baobabring/connections/_connection.py
+++ b/packages/baobabring/baobabring/connections/_connection.py
@@ -11,11 +11,19 @@
 from enum import StrEnum
 
 import httptools
+import logbook
 
 from baobabring.connections._body import BodyMemory, ReceivedBody
 from baobabring.entry import BodyEnd
 
-RESPONSE_LIMIT_BYTES = 64 * 1024 * 1024
+LOG = logbook.Logger("connections")
+
+# Successes for callers have no limit, since they are passed on as they arrive.
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+# A target's failure is held whole, as the call may be repeated.
+FAILURE_BODY_LIMIT_BYTES = 1024 * 1024
+# Bytes of heads, chunk frames and trailers that may arrive without a byte of body.
+HEAD_LIMIT_BYTES = 64 * 1024
 INFORMATIONAL_STATUSES = range(100, 200)
 SUCCESS_STATUSES = range(200, 300)
 NO_CONTENT_STATUSES = frozenset({204, 304})
@@ -40,11 +48,22 @@
     CLOSED = "closed"
     RESET = "reset"
     MALFORMED = "malformed"
-    TOO_LARGE = "too-large"
+    HEAD_TOO_LARGE = "head-too-large"
+    BODY_TOO_LARGE = "body-too-large"
     CUT_SHORT = "cut-short"
     NOT_SENT = "not-sent"
 
 
+# Failures by which a target shows that it doesn't keep to the protocol.
+INVALID_RESPONSE_FAILURES = frozenset(
+    {
+        ExchangeFailure.MALFORMED,
+        ExchangeFailure.HEAD_TOO_LARGE,
+        ExchangeFailure.BODY_TOO_LARGE,
+    }
+)
+
+
 class ExchangeError(Exception):
     """Report an exchange that ended without a complete response.
 
@@ -95,6 +114,7 @@
     headers_only: bool
     body_memory: BodyMemory | None
     on_headers: Callable[[HttpResponse], None] | None
+    body_limit_bytes: int
 
 
 class HttpConnection(asyncio.Protocol):
@@ -112,6 +132,8 @@
         self._headers_complete = False
         self._headers_at_s = 0.0
         self._body_ends_at_close = False
+        # Bytes received since the last byte of a body.
+        self._head_bytes = 0
         self._stream_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -131,6 +153,7 @@
         id_value: bytes | None,
         body_memory: BodyMemory | None = None,
         on_headers: Callable[[HttpResponse], None] | None = None,
+        body_limit_bytes: int = BODY_LIMIT_BYTES,
     ) -> asyncio.Future[HttpResponse]:
         """Send a request and return a future of its response or an `ExchangeError`.
 
@@ -138,7 +161,8 @@
         None, a response that has the header at all belongs to another call. With
         `body_memory`, a success whose body is long or takes long is returned with a
         stream of its body. `on_headers` is called with the response as soon as its
-        headers are complete, whether its body will be or not.
+        headers are complete, whether its body will be or not. A body that is not
+        returned as a stream may have up to `body_limit_bytes`.
         """
         future = self._loop.create_future()
         if self.closed or self._exchange is not None:
@@ -146,8 +170,15 @@
             return future
         headers_only = request.startswith(HEAD_METHOD_PREFIX)
         self._exchange = _Exchange(
-            future, id_header, id_value, headers_only, body_memory, on_headers
+            future,
+            id_header,
+            id_value,
+            headers_only,
+            body_memory,
+            on_headers,
+            body_limit_bytes,
         )
+        self._head_bytes = 0
         self.used = True
         self._transport.write(request)
         return future
@@ -178,10 +209,16 @@
             # Data outside an exchange belongs to no call.
             self.abandon()
             return
+        self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            LOG.exception("response not handled")
+            self._fail(ExchangeFailure.MALFORMED)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(ExchangeFailure.MALFORMED)
+        if self._exchange is not None and self._head_bytes > HEAD_LIMIT_BYTES:
+            self._fail(ExchangeFailure.HEAD_TOO_LARGE)
 
     def eof_received(self) -> bool:
         """Complete a response without a length, whose body ends at the close."""
@@ -304,6 +341,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body to the response."""
+        self._head_bytes = 0
         if self._response is None:
             return
         stream = self._response.stream
@@ -313,8 +351,14 @@
                 self._pass_on_unless_small(stream)
             return
         self._response.body += body
-        if len(self._response.body) > RESPONSE_LIMIT_BYTES:
-            self._fail(ExchangeFailure.TOO_LARGE)
+        if len(self._response.body) > self._body_limit_bytes():
+            self._fail(ExchangeFailure.BODY_TOO_LARGE)
+
+    def _body_limit_bytes(self) -> int:
+        exchange = self._exchange
+        if exchange is None or exchange.body_memory is not None:
+            return FAILURE_BODY_LIMIT_BYTES
+        return exchange.body_limit_bytes
 
     def on_message_complete(self) -> None:
         """Complete the response, or skip an informational or unexpected one."""
--- a/packages/baobabring/baobabring/platform/store.py
+++ b/packages/baobabring/baobabring/platform/store.py
@@ -24,6 +24,8 @@
 READ_RESPONSE_PREFIX = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 # A connection requires the name of an id header; the store sends none.
+# Several times what the store returns at most.
+RESPONSE_LIMIT_BYTES = 8 * 1024 * 1024
 UNUSED_CALL_ID_HEADER = b"x-baobabring-attempt-id"
 
 
@@ -156,7 +158,10 @@
             async with asyncio.timeout(timeout_s):
                 connection = await self.pool.acquire(self.address)
                 response = await connection.exchange(
-                    request, UNUSED_CALL_ID_HEADER, None
+                    request,
+                    UNUSED_CALL_ID_HEADER,
+                    None,
+                    body_limit_bytes=RESPONSE_LIMIT_BYTES,
                 )
         except (TimeoutError, ConnectError, ExchangeError) as error:
             return StoreFailed(f"{method} {path}: {error!r}")
--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from baobabring.connections import (
+    INVALID_RESPONSE_FAILURES,
     BodyMemory,
     ConnectionPool,
     ExchangeError,
@@ -121,6 +122,9 @@
         except ExchangeError as error:
             if error.failure is ExchangeFailure.NOT_SENT:
                 return AttemptNotRun()
+            self.target_observer.log_invalid_response(target, error, ResponseKind.CALL)
+            if error.failure in INVALID_RESPONSE_FAILURES:
+                return AttemptLost(CallProblem.BAD_ANSWER)
             return AttemptLost(CallProblem.CONNECTION_LOST)
         now_s = self.clock.now_s()
         load = parse_load(response)
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -33,6 +33,11 @@
 LOST_SERVICES = Gauge(
     "baobabring_entry_lost_services", "Services none of whose targets can be reached."
 )
+INVALID_RESPONSES = Counter(
+    "baobabring_entry_invalid_responses_total",
+    "Responses of targets that did not keep to the protocol, by reason.",
+    ("reason",),
+)
 HANDOVERS = Counter(
     "baobabring_entry_handovers_total",
     "Calls for which no target could be reached, by what came of handing them over.",
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -35,6 +35,8 @@
 INSUFFICIENT_WAIT_S = 0.03
 MAX_WAIT_S = 0.06
 PROBE_TIMEOUT_S = 0.15
+# A health response says all it has to say in its headers.
+BODY_LIMIT_BYTES = 64 * 1024
 # Ends before the probe's time, so that the cause of a failure is known.
 PROBE_CONNECT_TIMEOUT_S = 0.13
 
@@ -146,7 +148,8 @@
             return self._on_failure(record, ProbeFailure.NO_RESPONSE)
         except ConnectError:
             return self._on_failure(record, ProbeFailure.NOT_CONNECTED)
-        except ExchangeError:
+        except ExchangeError as error:
+            self.target_observer.log_invalid_response(target, error, ResponseKind.PROBE)
             return self._on_failure(record, ProbeFailure.CONNECTION_LOST)
         report = parse_health_response(response, target.target_id, probed_at_s)
         if report is None:
@@ -196,7 +199,11 @@
     ) -> HttpResponse:
         try:
             return await connection.exchange(
-                request, CALL_ID_HEADER, None, on_headers=observe
+                request,
+                CALL_ID_HEADER,
+                None,
+                on_headers=observe,
+                body_limit_bytes=BODY_LIMIT_BYTES,
             )
         finally:
             if connection.busy:
--- a/packages/baobabring/baobabring/program/entry/_target_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_target_observer.py
@@ -4,7 +4,11 @@
 
 import logbook
 
-from baobabring.connections import HttpResponse
+from baobabring.connections import (
+    INVALID_RESPONSE_FAILURES,
+    ExchangeError,
+    HttpResponse,
+)
 from baobabring.entry import EntryTarget, ResponseKind, TargetPauses
 from baobabring.platform.wire import (
     is_announcement,
@@ -17,7 +21,11 @@
     unusual_header_names,
 )
 from baobabring.program.entry._limit_observer import LimitObserver
-from baobabring.program.entry._metrics import TARGET_PAUSES, UNWANTED_REQUESTS
+from baobabring.program.entry._metrics import (
+    INVALID_RESPONSES,
+    TARGET_PAUSES,
+    UNWANTED_REQUESTS,
+)
 from baobabring.utils import Clock
 
 LOG = logbook.Logger("targets")
@@ -107,6 +115,20 @@
                 wait_s=wait_s,
             )
 
+    def log_invalid_response(
+        self, target: EntryTarget, error: ExchangeError, request_kind: ResponseKind
+    ) -> None:
+        """Log a response that ended because it did not keep to the protocol."""
+        if error.failure not in INVALID_RESPONSE_FAILURES:
+            return
+        INVALID_RESPONSES.labels(error.failure.value).inc()
+        LOG.warning(
+            "target sent an invalid response",
+            target=target.target_id,
+            kind=request_kind,
+            failure=error.failure,
+        )
+
     def count_request(self, target: EntryTarget, request_kind: ResponseKind) -> None:
         """Count a call or a probe that is sent, and log one that is not wanted."""
         if request_kind is ResponseKind.CALL:
--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -32,8 +32,16 @@
     SHED_CUT_SHORT = "shed-cut-short"
     SHED_STALLED = "shed-stalled"
     FAIL = "fail"
+    # Bytes that are no response come until the caller closes, to probes as well.
+    ENDLESS_HEAD = "endless-head"
+    ENDLESS_BODY = "endless-body"
 
 
+ENDLESS_BEGINNINGS = {
+    TargetFault.ENDLESS_HEAD: b"HTTP/1.1 200 OK\r\nX-Padding: ",
+    TargetFault.ENDLESS_BODY: b"HTTP/1.1 500 Error\r\n\r\n",
+}
+ENDLESS_PART = b"y" * 16_384
 REFUSING_FAULTS = frozenset(
     {
         TargetFault.SHED,
@@ -166,6 +174,8 @@
         method, path, _ = lines[0].split(" ")
         headers = dict(line.lower().split(": ", 1) for line in lines[1:] if line)
         body = await reader.readexactly(int(headers.get("content-length", "0")))
+        if self.fault in ENDLESS_BEGINNINGS:
+            return await self._send_without_end(writer)
         if path == "/health":
             self._record_request()
             self._write_response(
@@ -201,6 +211,13 @@
             return await self._send_download(writer, call_headers)
         return self._finish_call(writer, call_headers, method)
 
+    async def _send_without_end(self, writer: asyncio.StreamWriter) -> bool:
+        writer.write(ENDLESS_BEGINNINGS[self.fault])
+        while True:
+            writer.write(ENDLESS_PART)
+            await writer.drain()
+            self.sent_parts += 1
+
     async def _refuse(
         self, writer: asyncio.StreamWriter, headers: dict[str, str]
     ) -> bool:
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_robustness.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_robustness.py
@@ -5,11 +5,19 @@
 import os
 import signal
 import time
+from pathlib import Path
 
 import aiohttp
 import pytest
 import zmq
 from baobabring.entry import (
+    HandedOverCall,
+    HandoverBodyPart,
+    HandoverBodyRead,
+    HandoverCancel,
+    HandoverCheck,
+    HandoverResponse,
+    HandoverStatus,
     InstanceAlive,
     InstanceChanges,
     LimitNotice,
@@ -29,6 +37,7 @@
 
 FRONT_PORT = 8381
 PEER_PORT = 7200
+MAX_GROWTH_MIB = 20
 NAN = float("nan")
 HOSTILE_MESSAGES = (
     InstanceAlive("x", "no address", NAN, {"t": -5}),
@@ -38,6 +47,15 @@
         "x", "?", 0, 0, 0.0, 1, InstanceChanges({"y": "?"}, ["z"], 2), NAN, {}
     ),
     TargetLimitNotices("x", [LimitNotice("i-m0", 2**62, NAN, -1.0, ["?"])]),
+    HandoverCheck("x", "tcp://no"),
+    HandoverStatus("entry-1", -1, "", NAN, True, [], 2**62),
+    HandedOverCall(
+        "x", "?", 1, 1, -1, NAN, NAN, 0, "", "", [(b"", b"\n")], b"", ["t"], -1
+    ),
+    HandoverResponse(1, -1, 9_999, "?", False, NAN, [], b"", True, -1, [], []),
+    HandoverBodyPart(1, -1, b"x", "?"),
+    HandoverBodyRead(1, 1, -1, -(2**62)),
+    HandoverCancel(1, 1, -1),
 )
 HOSTILE_REQUESTS = (
     b"\x00\xff\x16\x03\x01 nonsense\r\n\r\n",
@@ -168,3 +186,40 @@
         await fleet.wait_until_ready()
         await assert_serves(fleet)
     assert not [r for r in gone.requests if r.received_at_s > left_at_s]
+
+
+def read_peak_memory_mib(instance):
+    """Return the peak of an instance's resident memory."""
+    status = Path(f"/proc/{instance.process.pid}/status").read_text()
+    (line,) = [line for line in status.splitlines() if line.startswith("VmHWM")]
+    return int(line.split()[1]) / 1_024
+
+
+# Guards against memory and time for targets that send without end.
+@pytest.mark.parametrize("fault", [TargetFault.ENDLESS_HEAD, TargetFault.ENDLESS_BODY])
+async def test_target_that_sends_without_end_harms_no_caller(fleet, fault):
+    instance = fleet.instances[0]
+    statuses = []
+    async with aiohttp.ClientSession() as session:
+
+        async def send_calls(count):
+            for number in range(count):
+                url = f"{instance.url}/menu/1"
+                headers = build_headers(f"c{id(statuses)}-{number}")
+                async with session.get(url, headers=headers) as response:
+                    await response.read()
+                    statuses.append(response.status)
+
+        await asyncio.gather(*(send_calls(10) for _ in range(4)))
+        memory_before_mib = read_peak_memory_mib(instance)
+        endless, *_ = [t for t in fleet.targets if t.service_id == "menuboard"]
+        endless.fault = fault
+        await asyncio.gather(*(send_calls(50) for _ in range(4)))
+    assert statuses.count(200) >= 0.98 * len(statuses)
+    assert read_peak_memory_mib(instance) - memory_before_mib < MAX_GROWTH_MIB
+    failures = {
+        line["failure"]
+        for line in instance.read_log_lines("target sent an invalid response")
+    }
+    assert failures <= {"head-too-large", "body-too-large"}
+    assert failures
