--- a/packages/baobabring/baobabring/program/entry/_handover_client.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from math import isfinite
 
 import logbook
 
@@ -45,6 +46,7 @@
 DEADLINE_MARGIN_S = 0.01
 MIN_TIME_LEFT_S = 0.02
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
+VALID_STATUSES = range(200, 600)
 REJECTIONS = frozenset(
     {CallProblem.NO_ROUTE, CallProblem.BAD_REQUEST, CallProblem.TOO_LARGE}
 )
@@ -313,6 +315,8 @@
         self, pending: _PendingCall, number: int, response: HandoverResponse
     ) -> HandoverEnd | None:
         if response.status is not None:
+            if response.status not in VALID_STATUSES:
+                return Undetermined(CallProblem.BAD_ANSWER)
             stream = self._bodies[number][0] if response.has_stream else None
             headers = tuple(response.headers)
             return Delivered(
@@ -329,7 +333,8 @@
             return None
         if problem in REJECTIONS:
             return Rejected(problem)
-        return NotRun(problem, self.clock.now_s() + response.retry_after_s)
+        after_s = response.retry_after_s if isfinite(response.retry_after_s) else 0.0
+        return NotRun(problem, self.clock.now_s() + after_s)
 
     def _on_response(self, response: HandoverResponse) -> None:
         pending = self._pending.get(response.number)
--- a/packages/baobabring/baobabring/program/entry/_handover_server.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from math import isfinite
 
 import logbook
 
@@ -148,6 +149,8 @@
         return False
 
     def _may_take(self, message: HandedOverCall) -> bool:
+        if not isfinite(message.arrived_at_s + message.deadline_s):
+            return False
         if message.deadline_s <= self.clock.now_s():
             return False
         version = self.call_runner.configuration_version
--- a/packages/baobabring/baobabring/program/entry/tests/test_handover.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_handover.py
@@ -417,5 +417,23 @@
     assert handovers.client_pauses.is_leaving(build_target("t-1"))
 
 
+@pytest.mark.parametrize("time_field", ["deadline_s", "arrived_at_s"])
+async def test_call_without_a_true_time_is_not_run(handovers, time_field):
+    task, _ = await handovers.hand_over()
+    (message,) = [m for m in handovers.client_link.sent if hasattr(m, "deadline_s")]
+    changed = {**_fields(message), "number": 99, time_field: float("nan")}
+    handovers.client_link.send(SERVER_ADDRESS, type(message)(**changed))
+    await asyncio.sleep(0.02)
+    assert len(handovers.runner.requests) == 1
+    task.cancel()
+
+
+async def test_response_with_an_impossible_status_is_not_delivered(handovers):
+    task, _ = await handovers.hand_over()
+    delivered = Delivered(TargetResponse(9_999, (), b""))
+    handovers.runner.outcomes[0].set_result(delivered)
+    assert await task == Undetermined(CallProblem.BAD_ANSWER)
+
+
 def _fields(message):
     return {name: getattr(message, name) for name in message.__struct_fields__}
