--- a/packages/baobabstandins/baobabstandins/soak/__init__.py
+++ b/packages/baobabstandins/baobabstandins/soak/__init__.py
@@ -1,6 +1,19 @@
 """Soak test of entry instances under overlapping faults drawn from a seed."""
 
-from baobabstandins.soak._plan import Fault, FaultKind, draw_announcements, draw_plan
+from baobabstandins.soak._plan import (
+    Fault,
+    FaultKind,
+    draw_announcements,
+    draw_cuts,
+    draw_plan,
+)
 from baobabstandins.soak._run import run_soak
 
-__all__ = ["Fault", "FaultKind", "draw_announcements", "draw_plan", "run_soak"]
+__all__ = [
+    "Fault",
+    "FaultKind",
+    "draw_announcements",
+    "draw_cuts",
+    "draw_plan",
+    "run_soak",
+]
--- a/packages/baobabstandins/baobabstandins/soak/_faults.py
+++ b/packages/baobabstandins/baobabstandins/soak/_faults.py
@@ -14,6 +14,7 @@
 from baobabstandins.soak._plan import Fault, FaultKind
 from baobabstandins.soak._proxy import LinkFaults
 from baobabstandins.usersplatform import StandinTarget, TargetFault
+from baobabstandins.usersplatform.cut_entry import LinkMode, set_links
 
 STORE_TOPICS = frozenset({"keyed.op", "keyed.servers", "keyed.instances"})
 LINK_DELAY_S = 0.3
@@ -24,6 +25,7 @@
 PAUSES = ("0.8", "1.5", "2")
 # A target that wants pauses refuses calls for this long.
 REFUSAL_S = 0.3
+CUT_MODES = (LinkMode.SILENT, LinkMode.RESET, LinkMode.NEW_REFUSED)
 TARGET_FAULTS = (
     TargetFault.RESET_AFTER_RUN,
     TargetFault.EXTRA_ANSWER_FIRST,
@@ -41,6 +43,7 @@
         self.disturbances: list[Disturbance] = []
         self.announcements: list[Announcement] = []
         self._disturbed_instances: set[int] = set()
+        self._cut_instances: set[int] = set()
         self._ending_targets: set[str] = set()
         self._limits: dict[str, AnnouncedLimit] = {}
 
@@ -59,6 +62,8 @@
             await self._disturb_store(fault, duration_s)
         elif kind.startswith("target"):
             await self._disturb_target(fault, duration_s)
+        elif fault.kind is FaultKind.LINKS_CUT:
+            await self._cut_links(fault, duration_s)
         elif kind.startswith("instance"):
             await self._disturb_instance(fault, duration_s)
         else:
@@ -175,6 +180,18 @@
         await asyncio.sleep(REFUSAL_S)
         target.fault = TargetFault.NONE
 
+    async def _cut_links(self, fault: Fault, duration_s: float) -> None:
+        """Cut an instance off from all targets, unless it is cut off already."""
+        number = fault.selector % len(self.fleet.instances)
+        if number in self._cut_instances:
+            return
+        self._cut_instances.add(number)
+        instance = self.fleet.instances[number]
+        set_links(instance, CUT_MODES[fault.selector // 10 % len(CUT_MODES)])
+        await asyncio.sleep(duration_s)
+        set_links(instance, LinkMode.SOUND)
+        self._cut_instances.discard(number)
+
     async def _disturb_instance(self, fault: Fault, duration_s: float) -> None:
         number = fault.selector % len(self.fleet.instances)
         if number in self._disturbed_instances:
--- a/packages/baobabstandins/baobabstandins/soak/_fleet.py
+++ b/packages/baobabstandins/baobabstandins/soak/_fleet.py
@@ -12,7 +12,7 @@
 FEES_RULE = build_rule("fees", "feedesk", idempotent=False)
 SERVICES = ("menuboard", "feedesk")
 SERVICE_TIME_S = 0.05
-SHIFTED_ENTRY = "baobabstandins.soak.shifted_entry"
+DISTURBABLE_ENTRY = "baobabstandins.soak.disturbable_entry"
 
 
 class SoakFleet(EntryFleet):
@@ -23,7 +23,7 @@
     """
 
     def __init__(self, directory: Path) -> None:
-        super().__init__(directory, INSTANCE_COUNT, program=SHIFTED_ENTRY)
+        super().__init__(directory, INSTANCE_COUNT, program=DISTURBABLE_ENTRY)
         self.store_links: list[FaultyLink] = []
         self.target_links: dict[str, FaultyLink] = {}
         self.zones_out: set[str] = set()
--- a/packages/baobabstandins/baobabstandins/soak/_plan.py
+++ b/packages/baobabstandins/baobabstandins/soak/_plan.py
@@ -30,6 +30,7 @@
     TARGET_LIMITED = "target-limited"
     TARGET_LEAVING = "target-leaving"
     TARGET_WANTS_PAUSES = "target-wants-pauses"
+    LINKS_CUT = "links-cut"
 
 
 # Faults that stop all instances at once are drawn rarely.
@@ -43,6 +44,10 @@
 ANNOUNCEMENTS_PER_S = 0.4
 MIN_ANNOUNCEMENT_S = 2.0
 MAX_ANNOUNCEMENT_S = 9.0
+# Cuts between an instance and all targets are drawn apart as well.
+CUTS_PER_S = 0.3
+MIN_CUT_S = 1.0
+MAX_CUT_S = 8.0
 RARE_SHARE = 0.04
 FAULTS_PER_S = 0.8
 MIN_FAULT_DURATION_S = 0.2
@@ -65,7 +70,7 @@
 def draw_plan(seed: int, duration_s: float) -> tuple[Fault, ...]:
     """Return the faults of a run, sorted by their start."""
     rng = random.Random(seed)
-    drawn_apart = RARE_KINDS.union(ANNOUNCEMENT_KINDS)
+    drawn_apart = RARE_KINDS.union(ANNOUNCEMENT_KINDS, {FaultKind.LINKS_CUT})
     common_kinds = [kind for kind in FaultKind if kind not in drawn_apart]
     faults = []
     for _ in range(round(FAULTS_PER_S * duration_s)):
@@ -91,3 +96,14 @@
         )
         faults.append(Fault(kind, at_s, until_s, rng.randrange(1_000)))
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def draw_cuts(seed: int, duration_s: float) -> tuple[Fault, ...]:
+    """Return the cuts between instances and targets in a run, sorted by their start."""
+    rng = random.Random(f"cuts {seed}")
+    faults = []
+    for _ in range(round(CUTS_PER_S * duration_s)):
+        at_s = rng.uniform(0.0, duration_s)
+        until_s = min(at_s + rng.uniform(MIN_CUT_S, MAX_CUT_S), duration_s)
+        faults.append(Fault(FaultKind.LINKS_CUT, at_s, until_s, rng.randrange(1_000)))
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
--- a/packages/baobabstandins/baobabstandins/soak/shifted_entry.py
+++ b/packages/baobabstandins/baobabstandins/soak/disturbable_entry.py
@@ -1,8 +1,18 @@
-"""Entry program whose wall clock jumps by one hour on each SIGUSR1."""
+"""Entry program that can be disturbed by signals.
 
+Its wall clock jumps by one hour on each SIGUSR1, and SIGUSR2 changes its links to
+targets.
+"""
+
+import os
 import runpy
 import signal
 import time
+from pathlib import Path
+
+from baobabring.platform.node_settings import SETTINGS_VARIABLE
+
+from baobabstandins.usersplatform.cut_entry import CuttableLinks
 
 CLOCK_JUMP_S = 3_600.0
 
@@ -27,4 +37,5 @@
     shifted = ShiftedTime()
     time.time = shifted.get_time_s
     signal.signal(signal.SIGUSR1, shifted.jump)
+    CuttableLinks(Path(os.environ[SETTINGS_VARIABLE])).install()
     runpy.run_module("baobabring.program.entry", run_name="__main__")
--- a/packages/baobabstandins/baobabstandins/soak/tests/test_plan.py
+++ b/packages/baobabstandins/baobabstandins/soak/tests/test_plan.py
@@ -1,6 +1,6 @@
 """Test the fault plans of the soak test."""
 
-from baobabstandins.soak import FaultKind, draw_announcements, draw_plan
+from baobabstandins.soak import FaultKind, draw_announcements, draw_cuts, draw_plan
 
 DURATION_S = 100.0
 
@@ -20,4 +20,5 @@
 def test_every_kind_is_drawn():
     plans = [draw_plan(seed, DURATION_S) for seed in range(20)]
     plans += [draw_announcements(seed, DURATION_S) for seed in range(20)]
+    plans += [draw_cuts(seed, DURATION_S) for seed in range(20)]
     assert {fault.kind for plan in plans for fault in plan} == set(FaultKind)
--- a/packages/baobabstandins/baobabstandins/soak/tests/test_soak.py
+++ b/packages/baobabstandins/baobabstandins/soak/tests/test_soak.py
@@ -5,6 +5,7 @@
 FAULTS_S = 6.0
 FIXED_SEED = 5
 ANNOUNCEMENTS_SEED = 11
+CUTS_SEED = 12
 
 
 async def test_fixed_seed_breaks_no_promise(tmp_path):
@@ -16,3 +17,11 @@
 async def test_fixed_seed_with_announcements_breaks_no_promise(tmp_path):
     findings = await run_soak(ANNOUNCEMENTS_SEED, FAULTS_S, tmp_path, True)
     assert [str(finding) for finding in findings] == []
+
+
+# Guards against calls that run twice or get lost on their way through a peer.
+async def test_fixed_seed_with_cuts_breaks_no_promise(tmp_path):
+    findings = await run_soak(
+        CUTS_SEED, FAULTS_S, tmp_path, announcements=True, cuts=True
+    )
+    assert [str(finding) for finding in findings] == []
