--- a/packages/baobabstandins/baobabstandins/soak/_proxy.py
+++ b/packages/baobabstandins/baobabstandins/soak/_proxy.py
@@ -91,7 +91,8 @@
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
-    )
+    if not writer.is_closing():
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+        )
     writer.transport.abort()
--- a/packages/baobabstandins/baobabstandins/soak/tests/test_proxy.py
+++ b/packages/baobabstandins/baobabstandins/soak/tests/test_proxy.py
@@ -75,3 +75,14 @@
     reader, _ = await connect(link)
     with pytest.raises((ConnectionResetError, asyncio.IncompleteReadError)):
         await asyncio.wait_for(reader.readexactly(1), WAIT_S)
+
+
+# Guards against a run that ends because one side of a connection had closed.
+async def test_reset_of_a_connection_whose_caller_left_meanwhile(link):
+    link.faults.delay_s = WAIT_S
+    _, writer = await connect(link)
+    writer.write(b"hello")
+    await asyncio.sleep(1.5 * WAIT_S)
+    writer.transport.abort()
+    await asyncio.sleep(0.02)
+    link.reset()
