--- a/packages/baobabstandins/baobabstandins/soak/_announcements.py
+++ b/packages/baobabstandins/baobabstandins/soak/_announcements.py
@@ -1,6 +1,8 @@
 """Announcements of targets during a run, and checks of what follows them.
 
-A call's id names the instance that it was sent to: `SEED-INSTANCE-CALLER-NUMBER`.
+A call's id names the instance that its caller sent it to: `SEED-INSTANCE-CALLER-NUMBER`.
+The instance that sent it to the target may be another one, to which it was handed over;
+the last byte of its address is its number plus one.
 """
 
 from collections.abc import Iterable
@@ -61,7 +63,7 @@
     Instances that a fault disturbed are excused from what each instance has to keep.
     """
     calls = [request for request in requests if not request.is_probe]
-    counted = [call for call in calls if _instance_of(call) not in disturbed_instances]
+    counted = [call for call in calls if _sender_of(call) not in disturbed_instances]
     findings = _check_pauses(target_id, counted)
     for announcement in announcements:
         if announcement.target_id != target_id:
@@ -91,9 +93,12 @@
     findings = []
     for known in _first_calls(during):
         late_s = max(
-            call.received_at_s - known.known_since_s
-            for call in during
-            if _instance_of(call) == known.instance
+            (
+                call.received_at_s - known.known_since_s
+                for call in during
+                if _sender_of(call) == known.instance
+            ),
+            default=0.0,
         )
         if late_s > DRAIN_S:
             problem = f"a call from instance {known.instance} {late_s:.2f} s later"
@@ -111,7 +116,7 @@
         count = sum(
             begin_s <= call.received_at_s < end_s
             and call.started_at_ms == refused.started_at_ms
-            and _instance_of(call) == _instance_of(refused)
+            and _sender_of(call) == _sender_of(refused)
             for call in calls
         )
         if count > MAX_REQUESTS_IN_PAUSE:
@@ -121,12 +126,21 @@
 
 
 def _first_calls(calls: list[ReceivedRequest]) -> list[InstanceTime]:
-    """Return when each instance got its first response."""
+    """Return when each instance got its first response, or passed it on."""
     first: dict[int, float] = {}
     for call in calls:
-        first.setdefault(_instance_of(call), call.received_at_s)
+        first.setdefault(_sender_of(call), call.received_at_s)
+        first.setdefault(_receiver_of(call), call.received_at_s)
     return [InstanceTime(instance, at_s) for instance, at_s in first.items()]
 
 
-def _instance_of(call: ReceivedRequest) -> int:
+def _receiver_of(call: ReceivedRequest) -> int:
+    """Return the instance that the caller sent a call to."""
     return int(call.call_id.split("-")[1])
+
+
+def _sender_of(call: ReceivedRequest) -> int:
+    """Return the instance that sent a call to the target."""
+    if call.sender_ip is None:
+        return _receiver_of(call)
+    return int(call.sender_ip.rpartition(".")[2]) - 1
--- a/packages/baobabstandins/baobabstandins/soak/_proxy.py
+++ b/packages/baobabstandins/baobabstandins/soak/_proxy.py
@@ -26,7 +26,10 @@
 
 
 class FaultyLink:
-    """Forward connections to a server, with faults that may change at any time."""
+    """Forward connections to a server, with faults that may change at any time.
+
+    The server sees the address that a connection comes from, not that of the link.
+    """
 
     def __init__(self, server_address: str) -> None:
         self.faults = LinkFaults()
@@ -59,8 +62,9 @@
             _reset(writer)
             return
         with contextlib.suppress(OSError):
+            source_host = writer.get_extra_info("peername")[0]
             server_reader, server_writer = await asyncio.open_connection(
-                self._server_host, self._server_port
+                self._server_host, self._server_port, local_addr=(source_host, 0)
             )
             self._writers |= {writer, server_writer}
             try:
--- a/packages/baobabstandins/baobabstandins/soak/tests/test_announcements.py
+++ b/packages/baobabstandins/baobabstandins/soak/tests/test_announcements.py
@@ -10,9 +10,14 @@
 from baobabstandins.usersplatform import ReceivedRequest
 
 
-def call(at_s, instance=0, stated_pause=None, started_at_ms=1) -> ReceivedRequest:
-    """Return a call that an instance sent."""
-    return ReceivedRequest(at_s, started_at_ms, f"7-{instance}-0-0", stated_pause)
+def call(
+    at_s, instance=0, stated_pause=None, started_at_ms=1, sender=None
+) -> ReceivedRequest:
+    """Return a call that an instance sent, or handed over to another sender."""
+    sender = instance if sender is None else sender
+    return ReceivedRequest(
+        at_s, started_at_ms, f"7-{instance}-0-0", stated_pause, f"127.0.0.{sender + 1}"
+    )
 
 
 def check(requests, *announcements, disturbed=()):
@@ -53,3 +58,17 @@
     requests = [call(1.0, stated_pause="2")]
     requests += [call(1.6 + n / 10, started_at_ms=2) for n in range(3)]
     assert check(requests) == []
+
+
+def test_pause_binds_the_instance_that_sent_the_refused_call():
+    refused = call(1.0, instance=0, stated_pause="2", sender=1)
+    own = [call(1.6 + n / 10, instance=0) for n in range(3)]
+    by_sender = [call(1.6 + n / 10, instance=2, sender=1) for n in range(3)]
+    assert check([refused, *own]) == []
+    assert check([refused, *by_sender]) == ["pauses hold"]
+
+
+def test_instance_that_passed_a_leaving_on_knows_of_it_as_well():
+    leaving = AnnouncedLeaving("t", 0.0, 10.0)
+    requests = [call(1.0, instance=0, sender=1), call(4.0, instance=0, sender=0)]
+    assert check(requests, leaving) == ["leaving targets get no calls"]
--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -70,13 +70,14 @@
     """Represent a call, whether it was run or refused, or a health probe.
 
     `started_at_ms` identifies the start of the target, and `stated_pause` is the wait
-    time stated with a refusal.
+    time stated with a refusal. `sender_ip` is the address that it came from.
     """
 
     received_at_s: float
     started_at_ms: int
     call_id: str | None = None
     stated_pause: str | None = None
+    sender_ip: str | None = None
 
     @property
     def is_probe(self) -> bool:
@@ -177,7 +178,7 @@
         if self.fault in ENDLESS_BEGINNINGS:
             return await self._send_without_end(writer)
         if path == "/health":
-            self._record_request()
+            self._record_request(writer)
             self._write_response(
                 writer, 200, {"X-Baobabring-Instance-Id": self.target_id}
             )
@@ -195,7 +196,8 @@
         call_headers = {"X-Baobabring-Attempt-Id": call_id}
         is_full = self.running_calls >= self.slots
         is_refused = is_full or self.fault in REFUSING_FAULTS
-        self._record_request(call_id, self.retry_after if is_refused else None)
+        stated_pause = self.retry_after if is_refused else None
+        self._record_request(writer, call_id, stated_pause)
         if is_refused:
             refusal_headers = dict(call_headers)
             if self.fault is not TargetFault.SHED_WITHOUT_PROOF:
@@ -233,10 +235,16 @@
         return True
 
     def _record_request(
-        self, call_id: str | None = None, stated_pause: str | None = None
+        self,
+        writer: asyncio.StreamWriter,
+        call_id: str | None = None,
+        stated_pause: str | None = None,
     ) -> None:
+        sender_ip = writer.get_extra_info("peername")[0]
         self.requests.append(
-            ReceivedRequest(time.time(), self.started_at_ms, call_id, stated_pause)
+            ReceivedRequest(
+                time.time(), self.started_at_ms, call_id, stated_pause, sender_ip
+            )
         )
 
     async def _run_call(self, reader: asyncio.StreamReader) -> bool:
--- a/packages/baobabstandins/baobabstandins/usersplatform/cut_entry.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/cut_entry.py
@@ -45,6 +45,8 @@
     def __init__(self, settings_path: Path) -> None:
         settings = tomllib.loads(settings_path.read_text())
         self.store_address = settings["platform"]["platform"]["address"]
+        # Tells targets which instance a connection comes from.
+        self.source_address = (settings["local-node"]["ip"], 0)
         self.mode_path = settings_path.with_suffix(MODE_SUFFIX)
         self.mode = LinkMode.SOUND
         if self.mode_path.exists():
@@ -66,7 +68,7 @@
                 await asyncio.sleep(timeout_s)
             if links.mode is not LinkMode.SOUND:
                 raise ConnectError(address)
-            connection = await open_connection(pool, address, timeout_s)
+            connection = await links.connect(address, timeout_s)
             links.connections.add(connection)
             return connection
 
@@ -83,6 +85,19 @@
         HttpConnection.data_received = receive_unless_cut
         HttpConnection.exchange = exchange_unless_cut
 
+    async def connect(self, address: str, timeout_s: float) -> HttpConnection:
+        """Return a new connection from the instance's own address."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(
+                    HttpConnection, host, int(port), local_addr=self.source_address
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            raise ConnectError(f"{address}: {error!r}") from error
+        return connection
+
     def is_silent(self, connection: HttpConnection) -> bool:
         """Return whether nothing passes on a connection."""
         return self.mode is LinkMode.SILENT and connection in self.connections
