--- a/packages/baobabstandins/baobabstandins/soak/_announcements.py
+++ b/packages/baobabstandins/baobabstandins/soak/_announcements.py
@@ -1,8 +1,8 @@
 """Announcements of targets during a run, and checks of what follows them.
 
-A call's id names the instance that its caller sent it to: `SEED-INSTANCE-CALLER-NUMBER`.
-The instance that sent it to the target may be another one, to which it was handed over;
-the last byte of its address is its number plus one.
+A call's id, as in `SEED-INSTANCE-CALLER-NUMBER`, names the instance that its caller
+sent it to. The instance that sent it to the target may be another one, to which it was
+handed over; the last byte of its address is its number plus one.
 """
 
 from collections.abc import Iterable
