--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -79,7 +79,6 @@
     LimitNamed,
     LimitUnreadable,
     ResponseKind,
-    TargetLimit,
     TargetLimits,
 )
 from baobabring.entry._target_pauses import TargetPauses
@@ -150,7 +149,6 @@
     "SharedView",
     "TargetResponse",
     "TargetGate",
-    "TargetLimit",
     "TargetLimitNotices",
     "TargetLimits",
     "TargetTable",
--- a/packages/baobabring/baobabring/entry/_target_gate.py
+++ b/packages/baobabring/baobabring/entry/_target_gate.py
@@ -20,6 +20,10 @@
         limited_until_s = self.rate_limiter.next_connect_at_s(target, now_s)
         return max(limited_until_s, self.pauses.end_s(target))
 
+    def can_probe(self, target: EntryTarget, now_s: float) -> bool:
+        """Return whether a target may be probed, rather than only connected to."""
+        return self.rate_limiter.can_probe(target, now_s)
+
     def can_call(self, target: EntryTarget, now_s: float) -> bool:
         """Return whether a call may be sent to a target now."""
         if self.rate_limiter.next_call_at_s(target, now_s) > now_s:
--- a/packages/baobabring/baobabring/program/entry/_prober.py
+++ b/packages/baobabring/baobabring/program/entry/_prober.py
@@ -128,7 +128,7 @@
     ) -> ProbeResponse | None:
         target = record.target
         probed_at_s = self.clock.now_s()
-        if not self.ranker.gate.rate_limiter.can_probe(target, probed_at_s):
+        if not self.ranker.gate.can_probe(target, probed_at_s):
             return await self._connect_only(record)
         request = build_health_request(health_path, target.address)
         PROBES.inc()
