--- a/packages/baobabring/baobabring/entry/_handover_peers.py
+++ b/packages/baobabring/baobabring/entry/_handover_peers.py
@@ -81,6 +81,10 @@
         """Record that a peer could not serve calls of a service."""
         self._refused_until_s[instance_id, service_id] = now_s + REFUSAL_PAUSE_S
 
+    def is_any_usable(self, service_ids: Collection[str], now_s: float) -> bool:
+        """Return whether any peer takes calls of any of the services."""
+        return any(self._usable_peers(service_id, now_s) for service_id in service_ids)
+
     def peers_to_check(
         self, service_ids: Collection[str], now_s: float
     ) -> dict[str, str]:
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_handed_over_body.py
@@ -0,0 +1,39 @@
+"""Bodies that peers send for calls that were handed over to them."""
+
+from collections.abc import Callable
+
+from baobabring.connections import BodyMemory, ReceivedBody
+
+
+class _NoTransport:
+    """Take the place of a connection that needs no pauses: peers send on request."""
+
+    def pause_reading(self) -> None:
+        """Do nothing."""
+
+    def resume_reading(self) -> None:
+        """Do nothing."""
+
+    def is_closing(self) -> bool:
+        """Return False."""
+        return False
+
+
+class HandedOverBody(ReceivedBody):
+    """Receive a body from a peer, which sends on as parts are read."""
+
+    def __init__(
+        self,
+        length_bytes: int | None,
+        memory: BodyMemory,
+        on_read: Callable[[int], None],
+    ) -> None:
+        super().__init__(length_bytes, memory, _NoTransport())
+        self._on_read = on_read
+
+    async def read(self, size_bytes: int) -> bytes:
+        """Return the next bytes, none at the end; raises `BodyEndedError`."""
+        part = await super().read(size_bytes)
+        if part and self.end is None:
+            self._on_read(len(part))
+        return part
--- a/packages/baobabring/baobabring/program/entry/_handover_client.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_client.py
@@ -1,13 +1,12 @@
 """Handover of calls to peers, while this instance reaches no target for them."""
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 from math import isfinite
 
 import logbook
 
-from baobabring.connections import BodyMemory, ReceivedBody
+from baobabring.connections import BodyMemory
 from baobabring.entry import (
     BodyEnd,
     CallProblem,
@@ -17,34 +16,31 @@
     HandoverBodyPart,
     HandoverBodyRead,
     HandoverCancel,
-    HandoverCheck,
     HandoverPeer,
-    HandoverPeers,
     HandoverResponse,
-    HandoverStatus,
     NotRun,
     Rejected,
-    ServiceReachability,
     TargetPauses,
     TargetResponse,
     Undetermined,
 )
 from baobabring.program._peer_link import PeerLink
+from baobabring.program.entry._handed_over_body import HandedOverBody
+from baobabring.program.entry._handover_peer_finder import (
+    CHECK_INTERVAL_S,
+    HandoverPeerFinder,
+)
 from baobabring.program.entry._metrics import HANDOVERS
 from baobabring.program.entry._progress import CallProgress
 from baobabring.utils import Clock
 
 LOG = logbook.Logger("handover")
 
-CHECK_INTERVAL_S = 0.25
-# Peers answer a check within this time, also if it opens the connections to them.
-ANSWER_WAIT_S = 0.06
 MAX_PEERS_TRIED = 3
 # A peer with a call in progress that has not answered for this long may be gone.
 PEER_SILENCE_S = 0.7
 # Lets the peer's outcome arrive before this instance gives up.
 DEADLINE_MARGIN_S = 0.01
-MIN_TIME_LEFT_S = 0.02
 BODY_LIMIT_BYTES = 4 * 1024 * 1024
 VALID_STATUSES = range(200, 600)
 REJECTIONS = frozenset(
@@ -77,40 +73,6 @@
     response: asyncio.Future[HandoverResponse | HandoverLost]
 
 
-class _NoTransport:
-    """Take the place of a connection that needs no pauses: peers send on request."""
-
-    def pause_reading(self) -> None:
-        """Do nothing."""
-
-    def resume_reading(self) -> None:
-        """Do nothing."""
-
-    def is_closing(self) -> bool:
-        """Return False."""
-        return False
-
-
-class HandedOverBody(ReceivedBody):
-    """Receive a body from a peer, which sends on as parts are read."""
-
-    def __init__(
-        self,
-        length_bytes: int | None,
-        memory: BodyMemory,
-        on_read: Callable[[int], None],
-    ) -> None:
-        super().__init__(length_bytes, memory, _NoTransport())
-        self._on_read = on_read
-
-    async def read(self, size_bytes: int) -> bytes:
-        """Return the next bytes, none at the end; raises `BodyEndedError`."""
-        part = await super().read(size_bytes)
-        if part and self.end is None:
-            self._on_read(len(part))
-        return part
-
-
 class HandoverClient:
     """Hand calls over to peers that reach targets, and return their outcomes.
 
@@ -123,8 +85,7 @@
         instance_id: str,
         address: str,
         session: int,
-        peers: HandoverPeers,
-        reachability: ServiceReachability,
+        finder: HandoverPeerFinder,
         pauses: TargetPauses,
         body_memory: BodyMemory,
         link: PeerLink,
@@ -133,8 +94,7 @@
         self.instance_id = instance_id
         self.address = address
         self.session = session
-        self.peers = peers
-        self.reachability = reachability
+        self.finder = finder
         self.pauses = pauses
         self.body_memory = body_memory
         self.link = link
@@ -143,9 +103,7 @@
         self._pending: dict[int, _PendingCall] = {}
         self._bodies: dict[int, tuple[HandedOverBody, HandoverPeer, int]] = {}
         self._next_number = 0
-        self._checked_at_s = float("-inf")
-        self._answered = asyncio.Event()
-        link.subscribe(HandoverStatus, self._on_status)
+        finder.on_restart = self._end_calls_at
         link.subscribe(HandoverResponse, self._on_response)
         link.subscribe(HandoverBodyPart, self._on_body_part)
 
@@ -153,9 +111,7 @@
         """Check peers while a service is lost or calls are in progress at peers."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            lost = self.reachability.lost_services()
-            if lost or self._pending or self._bodies:
-                self._send_checks(lost)
+            self.finder.check_peers(bool(self._pending or self._bodies))
             self._end_calls_of_silent_peers()
 
     async def hand_over(self, progress: CallProgress) -> HandoverEnd | None:
@@ -165,7 +121,9 @@
             return None
         refused_by: set[str] = set()
         while len(refused_by) < MAX_PEERS_TRIED:
-            peer = await self._find_peer(progress, refused_by)
+            peer = await self.finder.find(
+                progress.call, self.configuration_version, refused_by
+            )
             if peer is None:
                 HANDOVERS.labels("no-peer").inc()
                 return None
@@ -175,50 +133,13 @@
                 return end
             refused_by.add(peer.instance_id)
             service_id = progress.call.service_id
-            self.peers.record_refusal(peer.instance_id, service_id, self.clock.now_s())
+            self.finder.peers.record_refusal(
+                peer.instance_id, service_id, self.clock.now_s()
+            )
         return None
 
     # Peers
 
-    async def _find_peer(
-        self, progress: CallProgress, excluded_ids: set[str]
-    ) -> HandoverPeer | None:
-        """Return a peer, and wait for the answers to the last checks if need be."""
-        call = progress.call
-        while True:
-            now_s = self.clock.now_s()
-            if now_s + MIN_TIME_LEFT_S >= call.deadline_s:
-                return None
-            peer = self.peers.choose(
-                call.service_id, self.configuration_version, excluded_ids, now_s
-            )
-            if peer is not None:
-                return peer
-            if now_s - self._checked_at_s > CHECK_INTERVAL_S:
-                self._send_checks([call.service_id])
-            left_s = self._checked_at_s + ANSWER_WAIT_S - now_s
-            if left_s <= 0:
-                return None
-            self._answered.clear()
-            try:
-                async with asyncio.timeout(left_s):
-                    await self._answered.wait()
-            except TimeoutError:
-                return None
-
-    def _send_checks(self, service_ids: list[str]) -> None:
-        now_s = self.clock.now_s()
-        self._checked_at_s = now_s
-        check = HandoverCheck(self.instance_id, self.address)
-        for address in self.peers.peers_to_check(service_ids, now_s).values():
-            self.link.send(address, check)
-
-    def _on_status(self, status: HandoverStatus) -> None:
-        restarted = self.peers.record_status(status, self.clock.now_s())
-        self._answered.set()
-        if restarted:
-            self._end_calls_at(status.sender, status.session)
-
     def _end_calls_at(self, instance_id: str, session: int) -> None:
         """End what was in progress at the earlier process of a peer."""
         for pending in list(self._pending.values()):
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -46,6 +46,7 @@
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._forwarder import Forwarder
 from baobabring.program.entry._handover_client import HandoverClient
+from baobabring.program.entry._handover_peer_finder import HandoverPeerFinder
 from baobabring.program.entry._handover_server import HandoverServer
 from baobabring.program.entry._limit_exchange import LimitExchange
 from baobabring.program.entry._limit_observer import LimitObserver
@@ -151,12 +152,19 @@
         BODY_BYTES.set_function(lambda: body_memory.held_bytes)
         session = rng.getrandbits(SESSION_BITS)
         self.handover_peers = HandoverPeers(settings.zone, rng)
-        self.handover_client = HandoverClient(
+        handover_peer_finder = HandoverPeerFinder(
             settings.instance_id,
             settings.peer_address,
-            session,
             self.handover_peers,
             self.reachability,
+            self.link,
+            self.clock,
+        )
+        self.handover_client = HandoverClient(
+            settings.instance_id,
+            settings.peer_address,
+            session,
+            handover_peer_finder,
             self.pauses,
             body_memory,
             self.link,
