--- a/packages/baobabstandins/baobabstandins/soak/_faults.py
+++ b/packages/baobabstandins/baobabstandins/soak/_faults.py
@@ -14,7 +14,11 @@
 from baobabstandins.soak._plan import Fault, FaultKind
 from baobabstandins.soak._proxy import LinkFaults
 from baobabstandins.usersplatform import StandinTarget, TargetFault
-from baobabstandins.usersplatform.cut_entry import LinkMode, set_links
+from baobabstandins.usersplatform.cut_entry import (
+    LinkMode,
+    apply_links,
+    write_links,
+)
 
 STORE_TOPICS = frozenset({"keyed.op", "keyed.servers", "keyed.instances"})
 LINK_DELAY_S = 0.3
@@ -186,12 +190,18 @@
         if number in self._cut_instances:
             return
         self._cut_instances.add(number)
-        instance = self.fleet.instances[number]
-        set_links(instance, CUT_MODES[fault.selector // 10 % len(CUT_MODES)])
+        self._set_links(number, CUT_MODES[fault.selector // 10 % len(CUT_MODES)])
         await asyncio.sleep(duration_s)
-        set_links(instance, LinkMode.SOUND)
+        self._set_links(number, LinkMode.SOUND)
         self._cut_instances.discard(number)
 
+    def _set_links(self, number: int, mode: LinkMode) -> None:
+        """Change an instance's links, at the end of a restart if it is in one."""
+        instance = self.fleet.instances[number]
+        write_links(instance, mode)
+        if number not in self._disturbed_instances:
+            apply_links(instance)
+
     async def _disturb_instance(self, fault: Fault, duration_s: float) -> None:
         number = fault.selector % len(self.fleet.instances)
         if number in self._disturbed_instances:
@@ -251,6 +261,7 @@
         self._disturbed_instances.discard(number)
 
     def _record_disturbance(self, number: int, from_s: float) -> None:
+        apply_links(self.fleet.instances[number])
         to_s = time.time() + DISTURBANCE_MARGIN_S
         self.disturbances.append(Disturbance(number, from_s, to_s))
 
--- a/packages/baobabstandins/baobabstandins/usersplatform/cut_entry.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/cut_entry.py
@@ -33,10 +33,21 @@
     NEW_REFUSED = "new-refused"
 
 
-def set_links(instance: EntryProcess, mode: LinkMode) -> None:
-    """Change what happens to the connections of an instance to targets."""
+def write_links(instance: EntryProcess, mode: LinkMode) -> None:
+    """Set what happens to an instance's connections to targets from its next start."""
     instance.settings_path.with_suffix(MODE_SUFFIX).write_text(mode.value)
-    instance.send_signal(signal.SIGUSR2)
+
+
+def apply_links(instance: EntryProcess) -> None:
+    """Let a running instance take up what was set; one that is starting would end."""
+    if instance.settings_path.with_suffix(MODE_SUFFIX).exists():
+        instance.send_signal(signal.SIGUSR2)
+
+
+def set_links(instance: EntryProcess, mode: LinkMode) -> None:
+    """Change what happens to the connections of a running instance to targets."""
+    write_links(instance, mode)
+    apply_links(instance)
 
 
 class CuttableLinks:
