--- a/packages/baobabstandins/baobabstandins/usersplatform/cut_entry.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/cut_entry.py
@@ -35,7 +35,11 @@
 
 def write_links(instance: EntryProcess, mode: LinkMode) -> None:
     """Set what happens to an instance's connections to targets from its next start."""
-    instance.settings_path.with_suffix(MODE_SUFFIX).write_text(mode.value)
+    path = instance.settings_path.with_suffix(MODE_SUFFIX)
+    # A signal sent earlier may be handled in the middle of a write.
+    complete = path.with_suffix(f"{MODE_SUFFIX}.new")
+    complete.write_text(mode.value)
+    complete.replace(path)
 
 
 def apply_links(instance: EntryProcess) -> None:
