--- a/packages/baobabring/baobabring/program/entry/_handover_client.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_client.py
@@ -62,15 +62,19 @@
 HandoverEnd = EntryOutcome | HandoverLost
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class _PendingCall:
-    """Represent a call at a peer, until its outcome is known."""
+    """Represent a call at a peer, until its outcome is known.
+
+    `body` is set with the response; it may end before the response is handled.
+    """
 
     progress: CallProgress
     peer: HandoverPeer
     session: int
     sent_at_s: float
     response: asyncio.Future[HandoverResponse | HandoverLost]
+    body: HandedOverBody | None = None
 
 
 class HandoverClient:
@@ -184,7 +188,7 @@
         peer.in_flight += 1
         end: HandoverEnd | None = HandoverLost(CallProblem.CALLER_LEFT)
         try:
-            end = await self._wait_for_end(pending, number)
+            end = await self._wait_for_end(pending)
         finally:
             peer.in_flight -= 1
             del self._pending[number]
@@ -195,9 +199,7 @@
             progress.sent = sent_before
         return end
 
-    async def _wait_for_end(
-        self, pending: _PendingCall, number: int
-    ) -> HandoverEnd | None:
+    async def _wait_for_end(self, pending: _PendingCall) -> HandoverEnd | None:
         left_s = pending.progress.call.deadline_s - pending.sent_at_s
         try:
             async with asyncio.timeout(left_s):
@@ -209,7 +211,7 @@
         pending.progress.tried_targets[:] = response.tried_targets
         for leaving in response.leaving_targets:
             self.pauses.apply_leaving(leaving)
-        return self._read_outcome(pending, number, response)
+        return self._read_outcome(response, pending.body)
 
     def _build_message(
         self, peer: HandoverPeer, progress: CallProgress, number: int
@@ -233,15 +235,14 @@
         )
 
     def _read_outcome(
-        self, pending: _PendingCall, number: int, response: HandoverResponse
+        self, response: HandoverResponse, body: HandedOverBody | None
     ) -> HandoverEnd | None:
         if response.status is not None:
             if response.status not in VALID_STATUSES:
                 return Undetermined(CallProblem.BAD_ANSWER)
-            stream = self._bodies[number][0] if response.has_stream else None
             headers = tuple(response.headers)
             return Delivered(
-                TargetResponse(response.status, headers, response.body, stream)
+                TargetResponse(response.status, headers, response.body, body)
             )
         try:
             problem = CallProblem(response.problem)
@@ -264,12 +265,14 @@
             LOG.debug("late response of a peer", number=response.number)
             return
         if response.has_stream:
-            self._create_body(response, pending)
+            pending.body = self._create_body(response, pending)
         pending.response.set_result(response)
 
     # Bodies
 
-    def _create_body(self, response: HandoverResponse, pending: _PendingCall) -> None:
+    def _create_body(
+        self, response: HandoverResponse, pending: _PendingCall
+    ) -> HandedOverBody:
         number, peer = response.number, pending.peer
 
         def on_read(read_bytes: int) -> None:
@@ -288,6 +291,7 @@
         left_s = pending.progress.call.deadline_s - self.clock.now_s()
         timer = asyncio.get_running_loop().call_later(left_s, body.expire)
         body.add_end_callback(lambda _: timer.cancel())
+        return body
 
     def _on_body_part(self, part: HandoverBodyPart) -> None:
         entry = self._bodies.get(part.number)
--- a/packages/baobabring/baobabring/program/entry/tests/test_handover.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_handover.py
@@ -392,6 +392,21 @@
     assert handovers.memory.held_bytes == 0
 
 
+# Guards against a body that is lost because it ends before its response is handled.
+async def test_body_that_arrives_at_once_with_its_response(handovers):
+    task, _ = await handovers.hand_over()
+    stream = build_stream(handovers)
+    stream.feed(PART)
+    stream.feed(PART)
+    stream.finish(BodyEnd.COMPLETE)
+    handovers.runner.outcomes[0].set_result(build_response(stream))
+    response = (await task).response
+    received = b""
+    while part := await response.stream.read(65_536):
+        received += part
+    assert received == 2 * PART
+
+
 async def test_body_that_is_cut_short_never_looks_complete(handovers):
     task, _ = await handovers.hand_over()
     stream = build_stream(handovers)
