--- a/packages/baobabring/baobabring/entry/_handover_peers.py
+++ b/packages/baobabring/baobabring/entry/_handover_peers.py
@@ -59,6 +59,9 @@
         for instance_id, peer in list(self._peers.items()):
             if self._addresses.get(instance_id) != peer.address:
                 del self._peers[instance_id]
+        for key in list(self._refused_until_s):
+            if key[0] not in self._addresses:
+                del self._refused_until_s[key]
 
     def get(self, instance_id: str) -> HandoverPeer | None:
         """Return a peer that answered at any time, None if it is unknown."""
--- a/packages/baobabring/baobabring/entry/tests/test_handover_peers.py
+++ b/packages/baobabring/baobabring/entry/tests/test_handover_peers.py
@@ -85,6 +85,13 @@
     assert choose_id(peers) is None
 
 
+def test_refusals_of_peers_that_left_are_forgotten():
+    peers = build_peers(2)
+    peers.record_refusal("i-1", SERVICE, 0.0)
+    peers.set_instances({"i-0": "10.0.0.0:7200"})
+    assert not peers._refused_until_s
+
+
 def test_peers_in_the_same_zone_come_first_until_they_are_busier():
     peers = build_peers(2)
     peers.record_status(build_status("i-0", zone="south"), 0.0)
