--- a/packages/baobabring/baobabring/entry/tests/test_target_pauses.py
+++ b/packages/baobabring/baobabring/entry/tests/test_target_pauses.py
@@ -43,8 +43,8 @@
 
 
 def test_leaving_target_stays_left_alone_until_a_new_start(pauses):
-    assert pauses.mark_leaving(TARGET)
-    assert not pauses.mark_leaving(TARGET)
+    assert pauses.mark_leaving(TARGET, 1_500.0, 10.0)
+    assert not pauses.mark_leaving(TARGET, 1_500.0, 10.0)
     pauses.remove_ended(1e9)
     assert pauses.end_s(TARGET) == float("inf")
     assert pauses.end_s(build_target(started_at_ms=2_000)) == float("-inf")
@@ -93,12 +93,29 @@
 
 
 def test_leaving_of_an_earlier_start_does_not_hide_a_pause_of_the_next(pauses):
-    pauses.mark_leaving(TARGET)
+    pauses.mark_leaving(TARGET, 1_500.0, 10.0)
     assert pauses.pause(build_target(started_at_ms=2_000), 12.0)
     assert pauses.end_s(build_target(started_at_ms=2_000)) < 13.0
 
 
 def test_leaving_that_a_peer_heard_of_holds_for_that_start(pauses):
-    pauses.apply_leaving(LeavingTarget(TARGET.target_id, TARGET.started_at_ms))
-    assert not pauses.mark_leaving(TARGET)
+    leaving = LeavingTarget(TARGET.target_id, TARGET.started_at_ms)
+    pauses.apply_leaving(leaving, 1_500.0, 10.0)
+    assert not pauses.mark_leaving(TARGET, 1_500.0, 10.0)
     assert not pauses.is_leaving(build_target(started_at_ms=2_000))
+
+
+def test_start_that_began_before_leaving_was_heard_of_is_left_alone_for_a_while(pauses):
+    pauses.mark_leaving(TARGET, 1_500.0, 10.0)
+    unregistered = build_target(started_at_ms=1_400)
+    assert pauses.end_s(unregistered) == 40.0
+    assert pauses.end_s(build_target(started_at_ms=1_600)) == float("-inf")
+    pauses.remove_ended(41.0)
+    assert pauses.end_s(unregistered) == float("-inf")
+    assert pauses.end_s(TARGET) == float("inf")
+
+
+def test_repeated_leaving_does_not_prolong_the_doubt_about_another_start(pauses):
+    pauses.mark_leaving(TARGET, 1_500.0, 10.0)
+    pauses.mark_leaving(TARGET, 3_500.0, 12.0)
+    assert pauses.end_s(build_target(started_at_ms=2_000)) == float("-inf")
--- a/packages/baobabring/baobabring/program/entry/_handover_client.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_client.py
@@ -1,6 +1,7 @@
 """Handover of calls to peers, while this instance reaches no target for them."""
 
 import asyncio
+import time
 from dataclasses import dataclass
 from math import isfinite
 
@@ -36,6 +37,7 @@
 
 LOG = logbook.Logger("handover")
 
+MS_PER_S = 1_000
 MAX_PEERS_TRIED = 3
 # A peer with a call in progress that has not answered for this long may be gone.
 PEER_SILENCE_S = 0.7
@@ -210,7 +212,8 @@
             return response
         pending.progress.tried_targets[:] = response.tried_targets
         for leaving in response.leaving_targets:
-            self.pauses.apply_leaving(leaving)
+            unix_time_ms = time.time() * MS_PER_S
+            self.pauses.apply_leaving(leaving, unix_time_ms, self.clock.now_s())
         return self._read_outcome(response, pending.body)
 
     def _build_message(
--- a/packages/baobabring/baobabring/program/entry/_target_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_target_observer.py
@@ -1,5 +1,6 @@
 """Observation of what targets say of themselves in any of their responses."""
 
+import time
 from dataclasses import dataclass
 
 import logbook
@@ -31,6 +32,7 @@
 LOG = logbook.Logger("targets")
 
 MAX_LOGGED_HEADERS = 30
+MS_PER_S = 1_000
 # Requests on their way when a refusal arrives are no mistake.
 REFUSAL_MARGIN_S = 0.5
 MAX_REMEMBERED_REFUSALS = 1_000
@@ -97,7 +99,7 @@
         """Record whether a target wants to be left alone, if it sent the response."""
         if is_of_other_target(response, target.target_id):
             return
-        if states_leaving(response) and self.pauses.mark_leaving(target):
+        if states_leaving(response) and self._mark_leaving(target):
             TARGET_PAUSES.labels("leaving").inc()
             LOG.info("target is leaving", target=target.target_id, source=response_kind)
             return
@@ -115,6 +117,10 @@
                 wait_s=wait_s,
             )
 
+    def _mark_leaving(self, target: EntryTarget) -> bool:
+        unix_time_ms = time.time() * MS_PER_S
+        return self.pauses.mark_leaving(target, unix_time_ms, self.clock.now_s())
+
     def log_invalid_response(
         self, target: EntryTarget, error: ExchangeError, request_kind: ResponseKind
     ) -> None:
--- a/packages/baobabring/baobabring/program/entry/tests/test_handover.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_handover.py
@@ -365,7 +365,7 @@
 async def test_leaving_target_is_left_alone_at_both_instances(handovers):
     target = build_target("t-1")
     handovers.table.set_targets([target], (), 0.0)
-    handovers.server_pauses.mark_leaving(target)
+    handovers.server_pauses.mark_leaving(target, 5_000.0, 0.0)
     task, _ = await handovers.hand_over()
     handovers.runner.origins[0].tried_targets.append("t-1")
     handovers.runner.outcomes[0].set_result(build_response())
@@ -442,7 +442,7 @@
 
 
 async def test_leaving_targets_are_identified_by_their_start(handovers):
-    handovers.client_pauses.apply_leaving(LeavingTarget("t-1", 1_000))
+    handovers.client_pauses.apply_leaving(LeavingTarget("t-1", 1_000), 5_000.0, 0.0)
     assert handovers.client_pauses.is_leaving(build_target("t-1"))
 
 
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_pauses.py
@@ -124,6 +124,24 @@
     assert requests_since(paused, refused_at_s + 2.0)
 
 
+# Guards against calls to a target that said that it leaves before it was registered.
+async def test_leaving_holds_if_the_target_had_started_anew_unnoticed(fleet):
+    leaving = fleet.targets[0]
+    await send_calls(fleet, 0.5)
+    leaving.started_at_ms += 1_000
+    await asyncio.sleep(1.0)
+    leaving.leaving = "1"
+    async with asyncio.timeout(5.0):
+        while not fleet.instances[0].read_log_lines("target is leaving"):
+            await send_calls(fleet, 0.05)
+    heard_at_s = time.time()
+    leaving.leaving = None
+    leaving.sequence = 0
+    leaving.register(fleet.store)
+    await send_calls(fleet, 4.0)
+    assert not [r for r in requests_since(leaving, heard_at_s + 2.0) if r.call_id]
+
+
 # Guards against a pause that is missed because the refusal does not arrive whole.
 @pytest.mark.parametrize(
     "fault", [TargetFault.SHED_CUT_SHORT, TargetFault.SHED_STALLED]
