--- a/packages/baobabring/baobabring/entry/_target_pauses.py
+++ b/packages/baobabring/baobabring/entry/_target_pauses.py
@@ -8,8 +8,8 @@
 
 # Pauses are prolonged by up to this time, so that instances return one by one.
 MAX_PROLONGATION_S = 0.5
-# A start that began before its target was heard to leave, and is registered later, may be
-# the one that leaves. It is left alone for as long as targets take for that.
+# A start that began before its target was heard to leave, and is registered later, may
+# be the one that leaves. It is left alone for as long as targets take for that.
 UNREGISTERED_LEAVING_S = 30.0
 # Oldest entries beyond this number are dropped.
 MAX_PAUSES = 10_000
