--- a/packages/baobabring/baobabring/program/entry/tests/test_handover.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_handover.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from baobabring.connections import BodyMemory, ReceivedBody
+from baobabring.connections import BodyMemory
 from baobabring.entry import (
     BodyEnd,
     BodyEndedError,
@@ -23,6 +23,7 @@
     Undetermined,
 )
 from baobabring.entry.tests.builders import build_call, build_route, build_target
+from baobabring.program.entry._handed_over_body import HandedOverBody
 from baobabring.program.entry._handover_client import HandoverClient, HandoverLost
 from baobabring.program.entry._handover_peer_finder import (
     CHECK_INTERVAL_S,
@@ -31,7 +32,7 @@
 from baobabring.program.entry._handover_server import HandoverServer
 from baobabring.program.entry._peer_messages import ENTRY_MESSAGES
 from baobabring.program.entry._progress import CallProgress
-from baobabring.program.entry.tests.fakes import StepClock
+from baobabring.program.entry.tests.fakes import LoopClock, StepClock
 
 CLIENT_ADDRESS = "10.0.0.1:7200"
 SERVER_ADDRESS = "10.0.0.2:7200"
@@ -39,17 +40,6 @@
 PART = b"d" * 32_768
 
 
-class LoopClock:
-    """Clock with the time of the event loop and a lead over it."""
-
-    def __init__(self, lead_s: float = 0.0) -> None:
-        self.lead_s = lead_s
-
-    def now_s(self) -> float:
-        """Return the loop's time and the lead."""
-        return asyncio.get_running_loop().time() + self.lead_s
-
-
 class FakeLink:
     """Fake link that passes encoded messages to another one until it is cut."""
 
@@ -196,21 +186,7 @@
 
 def build_stream(handovers):
     """Return a body that a target is sending."""
-
-    class Transport:
-        """Transport that needs no pauses."""
-
-        def pause_reading(self):
-            """Do nothing."""
-
-        def resume_reading(self):
-            """Do nothing."""
-
-        def is_closing(self):
-            """Return False."""
-            return False
-
-    return ReceivedBody(None, handovers.memory, Transport())
+    return HandedOverBody(None, handovers.memory, on_read=lambda read_bytes: None)
 
 
 async def test_response_of_the_peer_is_returned_as_it_is(handovers):
--- a/packages/baobabring/baobabring/program/entry/tests/test_wait_queue.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_wait_queue.py
@@ -30,14 +30,7 @@
 from baobabring.program.entry._prober import ProbeResponse
 from baobabring.program.entry._progress import CallProgress
 from baobabring.program.entry._wait_queue import WaitQueue
-
-
-class LoopClock:
-    """Clock with the time of the event loop."""
-
-    def now_s(self) -> float:
-        """Return the loop's time."""
-        return asyncio.get_running_loop().time()
+from baobabring.program.entry.tests.fakes import LoopClock
 
 
 class FakeProber:
