--- a/packages/baobabring/baobabring/platform/wire.py
+++ b/packages/baobabring/baobabring/platform/wire.py
@@ -127,11 +127,7 @@
     response: HttpResponse, target_id: str, probed_at_s: float
 ) -> HealthReport | None:
     """Return the target's health report, None if another target responded."""
-    responding_target_id = response.header(TARGET_ID_HEADER)
-    if (
-        responding_target_id is None
-        or responding_target_id.decode("latin-1") != target_id
-    ):
+    if not states_target_id(response, target_id):
         return None
     cold_ms = _parse_positive_number(response.header(COLD_TIME_LEFT_HEADER)) or 0.0
     return HealthReport(
@@ -143,6 +139,12 @@
     )
 
 
+def states_target_id(response: HttpResponse, target_id: str) -> bool:
+    """Return whether a response names a target as the one that sent it."""
+    stated_id = response.header(TARGET_ID_HEADER)
+    return stated_id is not None and stated_id.decode("latin-1") == target_id
+
+
 def parse_load(response: HttpResponse) -> LoadReport | None:
     """Return the load that a response reports, None if absent or malformed.
 
@@ -222,10 +224,9 @@
     """Return whether a response shows that another target has the address now."""
     if response.status == STATUS_MISDIRECTED:
         return True
-    responding_target_id = response.header(TARGET_ID_HEADER)
-    if responding_target_id is None:
+    if response.header(TARGET_ID_HEADER) is None:
         return False
-    return responding_target_id.decode("latin-1") != target_id
+    return not states_target_id(response, target_id)
 
 
 def is_of_expected_target(response: HttpResponse) -> bool:
--- a/packages/baobabring/baobabring/program/entry/_target_observer.py
+++ b/packages/baobabring/baobabring/program/entry/_target_observer.py
@@ -16,9 +16,9 @@
     is_of_expected_target,
     is_of_other_target,
     is_refusal,
-    parse_health_response,
     parse_retry_after_s,
     states_leaving,
+    states_target_id,
     unusual_header_names,
 )
 from baobabring.program.entry._limit_observer import LimitObserver
@@ -71,7 +71,7 @@
         self, target: EntryTarget, response: HttpResponse, sent_at_s: float
     ) -> None:
         """Record what the headers of a response to a probe say of its target."""
-        if parse_health_response(response, target.target_id, sent_at_s) is not None:
+        if states_target_id(response, target.target_id):
             self._observe(target, response, ResponseKind.PROBE, sent_at_s)
         else:
             self._observe_pause(target, response, ResponseKind.PROBE)
