--- a/packages/baobabring/baobabring/entry/_shared_view.py
+++ b/packages/baobabring/baobabring/entry/_shared_view.py
@@ -167,7 +167,7 @@
         Return None if the delta is based on a different view, so that the complete
         view is needed.
         """
-        if self._is_older(delta):
+        if self.is_older(delta):
             return False
         if delta.base_digest != self.digest():
             return None
@@ -184,7 +184,7 @@
 
     def apply_heartbeat(self, heartbeat: ViewHeartbeat, now_s: float) -> bool:
         """Apply a peer's confirmation; return whether its complete view is needed."""
-        if self._is_older(heartbeat):
+        if self.is_older(heartbeat):
             return False
         if heartbeat.digest != self.digest():
             return True
@@ -207,7 +207,8 @@
             self.confirm(now_s - state.age_ms / 1_000)
         return changed
 
-    def _is_older(self, message: ViewHeartbeat | ViewDelta) -> bool:
+    def is_older(self, message: ViewHeartbeat | ViewDelta) -> bool:
+        """Return whether a peer's message tells of an older view than this one."""
         return (
             message.operator_offset < self.operator_offset
             or message.target_offset < self.target_offset
--- a/packages/baobabring/baobabring/platform/store.py
+++ b/packages/baobabring/baobabring/platform/store.py
@@ -23,18 +23,25 @@
 # Two numbers ahead of the records; their values are not used.
 READ_RESPONSE_PREFIX = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
-# A connection requires the name of an id header; the store sends none.
 # Several times what the store returns at most.
 RESPONSE_LIMIT_BYTES = 8 * 1024 * 1024
+# Rises each time that the store comes back from an older copy.
+ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 15
+# A connection requires the name of an id header; the store sends none.
 UNUSED_CALL_ID_HEADER = b"x-baobabring-attempt-id"
 
 
 @dataclass(frozen=True, slots=True)
 class Newest:
-    """Represent the newest record of each key and the offset of the next read."""
+    """Represent the newest record of each key and the offset of the next read.
+
+    `store_era` is None if the store did not name its era.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    store_era: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,11 +50,14 @@
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    store_era: int | None
 
 
 @dataclass(frozen=True, slots=True)
 class HistoryGone:
-    """Represent a read of records that were deleted already."""
+    """Represent a read of records that the store does not have."""
+
+    store_era: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +102,7 @@
         """Return the newest record of each key of a topic."""
         records: list[KeyedRecord] = []
         end = None
+        store_era = None
         after_parameter = ""
         while True:
             response = await self._call(
@@ -110,9 +121,13 @@
                 return StoreFailed(f"unreadable page of {topic}: {error}")
             # Records may change between two pages, so the next read starts at the end
             # offset of the first page.
-            end = page.end if end is None else end
+            if end is None:
+                end = page.end
+                store_era = _read_era(response)
+            elif _read_era(response) != store_era:
+                return StoreFailed(f"era changed between pages of {topic}")
             if not page.more or not page.items:
-                return Newest(tuple(records), end)
+                return Newest(tuple(records), end, store_era)
             after_parameter = f"&after={page.items[-1].key}"
 
     async def read(
@@ -124,13 +139,15 @@
         if isinstance(response, StoreFailed):
             return response
         if response.status == STATUS_GONE:
-            return HistoryGone()
+            return HistoryGone(_read_era(response))
         if response.status != STATUS_OK:
             return _create_status_failure(response)
         try:
-            return _decode_records(bytes(response.body), from_offset)
+            records = _decode_records(bytes(response.body), from_offset)
         except (struct.error, ValueError) as error:
             return StoreFailed(f"unreadable records of {topic}: {error}")
+        next_offset = from_offset + len(records)
+        return Records(records, next_offset, _read_era(response))
 
     async def put(self, topic: str, key: str, value: bytes) -> StoreFailed | None:
         """Append a record of a key; an empty value removes the key."""
@@ -177,11 +194,18 @@
     return StoreFailed(f"status {response.status}")
 
 
+def _read_era(response: HttpResponse) -> int | None:
+    value = response.header(ERA_HEADER) or b""
+    if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
+        return None
+    return int(value)
+
+
 def _decode_item(item: _NewestItem) -> KeyedRecord:
     return KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
 
 
-def _decode_records(data: bytes, from_offset: int) -> Records:
+def _decode_records(data: bytes, from_offset: int) -> tuple[KeyedRecord, ...]:
     READ_RESPONSE_PREFIX.unpack_from(data)
     position = READ_RESPONSE_PREFIX.size
     offset = from_offset
@@ -195,7 +219,7 @@
         position += length
         records.append(_decode_keyed_record(content, offset))
         offset += 1
-    return Records(tuple(records), offset)
+    return tuple(records)
 
 
 def _decode_keyed_record(content: bytes, offset: int) -> KeyedRecord:
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -79,6 +79,13 @@
 STORE_CALLS = Counter(
     "baobabring_entry_store_calls_total", "Calls to the store by outcome.", ("outcome",)
 )
+STORE_ERA = Gauge(
+    "baobabring_entry_store_era", "Era that the store named last, 0 if none."
+)
+OUTDATED_VIEWS = Counter(
+    "baobabring_entry_outdated_views_total",
+    "Messages of peers that were ignored, since their view was older than the own one.",
+)
 VIEW_AGE = Gauge(
     "baobabring_entry_view_age_seconds", "Time since the store confirmed the view."
 )
--- a/packages/baobabring/baobabring/program/entry/_store_reader.py
+++ b/packages/baobabring/baobabring/program/entry/_store_reader.py
@@ -24,7 +24,7 @@
     StoreClient,
     StoreFailed,
 )
-from baobabring.program.entry._metrics import STORE_CALLS
+from baobabring.program.entry._metrics import STORE_CALLS, STORE_ERA
 from baobabring.utils import Clock
 
 LOG = logbook.Logger("store")
@@ -58,6 +58,7 @@
         self.clock = clock
         self.operators_known = False
         self.targets_known = False
+        self._named_era: int | None = None
 
     def resume_from_peer_offsets(self) -> None:
         """Continue at the offsets that were received with a peer's view."""
@@ -103,7 +104,7 @@
         self, topic: str, offset: int, wait_ms: int
     ) -> Records | HistoryGone | StoreFailed:
         outcome = await self.store.read(topic, offset, wait_ms)
-        self._count_call(outcome)
+        self._observe(outcome)
         if isinstance(outcome, HistoryGone):
             LOG.info(
                 "records deleted before they were read", topic=topic, offset=offset
@@ -112,7 +113,7 @@
 
     async def _read_newest(self, topic: str) -> Newest | StoreFailed:
         newest = await self.store.read_newest(topic)
-        self._count_call(newest)
+        self._observe(newest)
         return newest
 
     def _replace_operators(self, newest: Newest) -> None:
@@ -157,7 +158,19 @@
                 readable.append(event)
         return readable
 
-    def _count_call(
-        self, outcome: Newest | Records | HistoryGone | StoreFailed
-    ) -> None:
+    def _observe(self, outcome: Newest | Records | HistoryGone | StoreFailed) -> None:
+        """Count a call to the store, and log a change of the store's era."""
         STORE_CALLS.labels(type(outcome).__name__).inc()
+        if isinstance(outcome, StoreFailed) or outcome.store_era is None:
+            return
+        if outcome.store_era == self._named_era:
+            return
+        LOG.info(
+            "store named another era",
+            era=outcome.store_era,
+            era_before=self._named_era,
+            operator_offset=self.shared_view.operator_offset,
+            target_offset=self.shared_view.target_offset,
+        )
+        self._named_era = outcome.store_era
+        STORE_ERA.set(outcome.store_era)
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -19,6 +19,7 @@
 )
 from baobabring.platform.store import StoreClient, StoreFailed
 from baobabring.program._peer_link import PeerLink
+from baobabring.program.entry._metrics import OUTDATED_VIEWS
 from baobabring.program.entry._peer_task import PeerTask
 from baobabring.program.entry._store_reader import StoreReader
 from baobabring.program.entry._supervision import supervise
@@ -74,6 +75,8 @@
         )
         self._store_unreachable = False
         self._list_request_due_at_s = 0.0
+        # Peers whose last view was ignored for being older than the own one.
+        self._outdated_peers: set[str] = set()
         self._wake_operator_reads = asyncio.Event()
         self._became_reader = asyncio.Event()
         link.subscribe(ViewHeartbeat, self._on_heartbeat)
@@ -205,6 +208,7 @@
         view_needed = self._is_list_request_due(
             self.peer_task.apply_status(heartbeat), now_s
         )
+        self._observe_order(heartbeat)
         view_needed |= self.shared_view.apply_heartbeat(heartbeat, now_s)
         confirmed_at_s = now_s - heartbeat.age_ms / 1_000
         if heartbeat.age_ms < FRESH_HEARTBEAT_MS:
@@ -237,6 +241,7 @@
 
     def _on_delta(self, delta: ViewDelta) -> None:
         now_s = self.clock.now_s()
+        self._observe_order(delta)
         changed = self.shared_view.apply_delta(delta, now_s)
         if changed is None:
             # The next heartbeat has the address to request the whole view from.
@@ -247,6 +252,25 @@
         if changed:
             self._on_view_changed("change from a peer", peer=delta.sender)
 
+    def _observe_order(self, message: ViewHeartbeat | ViewDelta) -> None:
+        """Log and count a peer's view that is ignored, once until one is taken."""
+        if not self.shared_view.is_older(message):
+            self._outdated_peers.discard(message.sender)
+            return
+        OUTDATED_VIEWS.inc()
+        if message.sender in self._outdated_peers:
+            return
+        self._outdated_peers.add(message.sender)
+        LOG.info(
+            "older view of peer ignored",
+            peer=message.sender,
+            peer_operator_offset=message.operator_offset,
+            peer_target_offset=message.target_offset,
+            operator_offset=self.shared_view.operator_offset,
+            target_offset=self.shared_view.target_offset,
+            view_age_s=self._view_age_s(),
+        )
+
     def _on_request(self, request: ViewRequest) -> None:
         if self.shared_view.is_complete:
             self._send_state(request.reply_address)
