--- a/packages/baobabstandins/baobabstandins/usersplatform/_store.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_store.py
@@ -20,18 +20,23 @@
     value: bytes
 
 
+StoreCopy = dict[str, list[_Record]]
+
+
 class StandinStore:
     """Serve keyed topics over HTTP, with faults.
 
     If `down`, every request gets a 503. Requests for `silent_topics` get no
     response while the topic is in the set. The next read of each topic in
-    `expired_topics` gets a 410, as if its history had been deleted.
+    `expired_topics` gets a 410, as if its history had been deleted. `era` is named in
+    all responses; it rises with each return from an older copy.
     """
 
     def __init__(self) -> None:
         self.down = False
         self.silent_topics: set[str] = set()
         self.expired_topics: set[str] = set()
+        self.era = 1
         self.requests: list[tuple[str, str]] = []
         self.address = ""
         self._topics: dict[str, list[_Record]] = {}
@@ -40,6 +45,7 @@
     async def start(self) -> None:
         """Serve on a free loopback port."""
         app = web.Application()
+        app.on_response_prepare.append(self._name_era)
         app.router.add_get("/log-newest", self._handle_newest)
         app.router.add_get("/log-read", self._handle_read)
         app.router.add_post("/log-append", self._handle_append)
@@ -58,6 +64,20 @@
         """Append a record, as operators and targets do."""
         self._topics.setdefault(topic, []).append(_Record(key, value))
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all topics as they are now."""
+        return {topic: list(records) for topic, records in self._topics.items()}
+
+    def return_from_copy(self, copy: StoreCopy) -> None:
+        """Lose what was appended since the copy was taken; the era rises."""
+        self._topics = {topic: list(records) for topic, records in copy.items()}
+        self.era += 1
+
+    async def _name_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["Store-Era"] = str(self.era)
+
     async def _apply_faults(self, request: web.Request) -> web.Response | None:
         topic = request.query["topic"]
         self.requests.append((request.path, topic))
@@ -90,8 +110,9 @@
         start = int(request.query["from"])
         if topic in self.expired_topics:
             self.expired_topics.discard(topic)
-            first = len(self._topics.get(topic, []))
-            return web.json_response({"first": first}, status=410)
+            return self._refuse_missing_records(topic)
+        if start > len(self._topics.get(topic, [])):
+            return self._refuse_missing_records(topic)
         polls_left = int(request.query.get("wait-ms", "0")) / 1_000 / POLL_INTERVAL_S
         while polls_left > 0 and len(self._topics.get(topic, [])) <= start:
             polls_left -= 1
@@ -99,6 +120,8 @@
         if self.down:
             return web.Response(status=503)
         records = self._topics.get(topic, [])
+        if start > len(records):
+            return self._refuse_missing_records(topic)
         body = READ_HEADER.pack(len(records), 0)
         for record in records[start:]:
             key = record.key.encode()
@@ -106,6 +129,10 @@
             body += RECORD_LENGTH.pack(len(content)) + content
         return web.Response(body=body)
 
+    def _refuse_missing_records(self, topic: str) -> web.Response:
+        first = len(self._topics.get(topic, []))
+        return web.json_response({"first": first}, status=410)
+
     async def _handle_append(self, request: web.Request) -> web.Response:
         fault_response = await self._apply_faults(request)
         if fault_response is not None:
