--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -70,6 +70,7 @@
 )
 from baobabring.entry._settings import EntrySettings, FleetLimits
 from baobabring.entry._shared_view import FleetStatus, SharedView
+from baobabring.entry._store_eras import StoreContents, is_newer_era
 from baobabring.entry._target_gate import TargetGate
 from baobabring.entry._target_limits import (
     LIMIT_LIFETIME_S,
@@ -147,6 +148,7 @@
     "RouteTable",
     "SendCall",
     "SharedView",
+    "StoreContents",
     "TargetResponse",
     "TargetGate",
     "TargetLimitNotices",
@@ -169,6 +171,7 @@
     "ZoneReturned",
     "ZoneTakenOut",
     "hedge_at_s",
+    "is_newer_era",
     "reader_sort_key",
     "ProbeFailure",
     "ServiceLost",
--- a/packages/baobabring/baobabring/entry/_messages.py
+++ b/packages/baobabring/baobabring/entry/_messages.py
@@ -26,7 +26,8 @@
 
     `operator_offset` and `target_offset` are the offsets of the next reads.
     `probes_per_s` is the probe rate of all instances together, and `failures` counts
-    their failed calls by target id since the last heartbeat.
+    their failed calls by target id since the last heartbeat. `store_era` is None if it
+    is unknown, as for senders of earlier builds.
     """
 
     sender: str
@@ -38,6 +39,7 @@
     instances: InstanceChanges
     probes_per_s: float
     failures: dict[str, int]
+    store_era: int | None = None
 
 
 class ViewState(msgspec.Struct, array_like=True, frozen=True):
@@ -54,6 +56,7 @@
     targets: list[EntryTarget]
     zones_out: list[str]
     instances: dict[str, str]
+    store_era: int | None = None
 
 
 class ViewDelta(msgspec.Struct, array_like=True, frozen=True):
@@ -71,6 +74,7 @@
     targets: list[EntryTarget]
     removed: list[str]
     zones_out: list[str]
+    store_era: int | None = None
 
 
 class LimitNotice(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/baobabring/baobabring/entry/_shared_view.py
+++ b/packages/baobabring/baobabring/entry/_shared_view.py
@@ -9,16 +9,22 @@
 from baobabring.entry._instance_list import InstanceChanges
 from baobabring.entry._messages import ViewDelta, ViewHeartbeat, ViewState
 from baobabring.entry._model import EntryTarget
+from baobabring.entry._store_eras import StoreContents, is_newer_era
 from baobabring.entry._view import (
+    REREGISTRATION_WINDOW_S,
     ConfigurationPublished,
     FleetEvent,
     FleetView,
     TargetRegistered,
     TargetRemoved,
+    ZoneTakenOut,
 )
 
 # If the view was not confirmed for this long, the store may have been unreachable.
 STORE_UNREACHABLE_AFTER_S = 2.5
+# After a return of the store from an older copy, operators write again what it lost.
+# Zones that were out until then stay out for this long.
+REWRITE_WINDOW_S = 5.0
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -41,6 +47,10 @@
         self.view = FleetView()
         self.operator_offset = 0
         self.target_offset = 0
+        self.store_era: int | None = None
+        # When all that operators wrote again since the era began is to be read.
+        self.operators_reread_at_s: float | None = None
+        self._reregistration_ends_at_s = float("-inf")
         self.confirmed_at_s: float | None = None
         self.version = 0
         self._digest: tuple[int, int] = (-1, 0)
@@ -63,17 +73,17 @@
 
     def apply(self, events: Iterable[FleetEvent], now_s: float) -> bool:
         """Apply events in the order of the store; return whether the view changed."""
-        unreachable = self.store_was_unreachable(now_s)
+        may_return = self._removed_targets_may_return(now_s)
         changed = False
         for event in events:
-            changed |= self.view.apply(event, unreachable, now_s)
+            changed |= self.view.apply(event, may_return, now_s)
         self._update_version(changed)
         return changed
 
-    def replace_targets(self, targets, now_s: float) -> bool:
+    def replace_targets(self, targets: Iterable[EntryTarget], now_s: float) -> bool:
         """Replace all registrations; return whether the view changed."""
-        unreachable = self.store_was_unreachable(now_s)
-        changed = self.view.replace_targets(targets, unreachable, now_s)
+        may_return = self._removed_targets_may_return(now_s)
+        changed = self.view.replace_targets(targets, may_return, now_s)
         self._update_version(changed)
         return changed
 
@@ -83,6 +93,31 @@
         self._update_version(changed)
         return changed
 
+    def begin_era(self, contents: StoreContents, now_s: float) -> bool:
+        """Continue with the store in a newer era; return whether the view changed.
+
+        The store has come back from an older copy. The configuration in force, zones
+        that are out and targets that have left stay so until they are written again.
+        """
+        self.name_era(contents.store_era, now_s)
+        events = contents.operator_events
+        zones = {event.zone for event in events if isinstance(event, ZoneTakenOut)}
+        changed = self.replace_zones_out(zones | self.view.zones_out)
+        changed |= self.apply(events, now_s)
+        changed |= self.replace_targets(contents.targets, now_s)
+        self.operator_offset = contents.operator_offset
+        self.target_offset = contents.target_offset
+        return changed
+
+    def name_era(self, store_era: int | None, now_s: float) -> None:
+        """Record the era that a response of the store or a peer's view names."""
+        if store_era is None or store_era == self.store_era:
+            return
+        if self.store_era is not None:
+            self.operators_reread_at_s = now_s + REWRITE_WINDOW_S
+            self._reregistration_ends_at_s = now_s + REREGISTRATION_WINDOW_S
+        self.store_era = store_era
+
     def confirm(self, at_s: float) -> None:
         """Record that the view matched the store at `at_s`."""
         self.confirmed_at_s = max(at_s, self.confirmed_at_s or at_s)
@@ -112,6 +147,7 @@
             instances=status.instances,
             probes_per_s=status.probes_per_s,
             failures=status.failures,
+            store_era=self.store_era,
         )
 
     def build_state(self, instances: Mapping[str, str], now_s: float) -> ViewState:
@@ -125,6 +161,7 @@
             targets=list(self.view.targets.values()),
             zones_out=sorted(self.view.zones_out),
             instances=dict(instances),
+            store_era=self.store_era,
         )
 
     def mark_sent(self) -> None:
@@ -159,6 +196,7 @@
             targets=changed,
             removed=[target_id for target_id in known if target_id not in targets],
             zones_out=sorted(self.view.zones_out),
+            store_era=self.store_era,
         )
 
     def apply_delta(self, delta: ViewDelta, now_s: float) -> bool | None:
@@ -175,6 +213,7 @@
         events += [TargetRemoved(target_id) for target_id in delta.removed]
         if delta.configuration is not None:
             events.append(ConfigurationPublished(delta.configuration))
+        self.name_era(delta.store_era, now_s)
         changed = self.apply(events, now_s)
         changed |= self.replace_zones_out(delta.zones_out)
         self.operator_offset = delta.operator_offset
@@ -190,18 +229,23 @@
             return True
         self.operator_offset = heartbeat.operator_offset
         self.target_offset = heartbeat.target_offset
+        self.name_era(heartbeat.store_era, now_s)
         self.confirm(now_s - heartbeat.age_ms / 1_000)
         return False
 
     def apply_state(self, state: ViewState, now_s: float) -> bool:
         """Apply the newer parts of a peer's view; return whether the view changed."""
+        if is_newer_era(self.store_era, state.store_era):
+            return False
+        of_newer_era = is_newer_era(state.store_era, self.store_era)
+        self.name_era(state.store_era, now_s)
         changed = False
-        if state.operator_offset >= self.operator_offset:
+        if of_newer_era or state.operator_offset >= self.operator_offset:
             self.operator_offset = state.operator_offset
             event = ConfigurationPublished(state.configuration)
             changed |= self.apply([event], now_s)
             changed |= self.replace_zones_out(state.zones_out)
-        if state.target_offset >= self.target_offset:
+        if of_newer_era or state.target_offset >= self.target_offset:
             self.target_offset = state.target_offset
             changed |= self.replace_targets(state.targets, now_s)
             self.confirm(now_s - state.age_ms / 1_000)
@@ -209,11 +253,19 @@
 
     def is_older(self, message: ViewHeartbeat | ViewDelta) -> bool:
         """Return whether a peer's message tells of an older view than this one."""
+        if is_newer_era(message.store_era, self.store_era):
+            return False
         return (
-            message.operator_offset < self.operator_offset
+            is_newer_era(self.store_era, message.store_era)
+            or message.operator_offset < self.operator_offset
             or message.target_offset < self.target_offset
         )
 
+    def _removed_targets_may_return(self, now_s: float) -> bool:
+        """Return whether targets in use may not have registered again yet."""
+        is_era_new = now_s < self._reregistration_ends_at_s
+        return is_era_new or self.store_was_unreachable(now_s)
+
     def _age_ms(self, now_s: float) -> float:
         if self.confirmed_at_s is None:
             return 0.0
--- a/packages/baobabring/baobabring/entry/_view.py
+++ b/packages/baobabring/baobabring/entry/_view.py
@@ -77,14 +77,16 @@
         self._remove_at_s: dict[str, float] = {}
         self._tombstones: dict[str, _Tombstone] = {}
 
-    def apply(
-        self, event: FleetEvent, store_was_unreachable: bool, now_s: float
-    ) -> bool:
-        """Apply one event; return whether the view changed."""
+    def apply(self, event: FleetEvent, may_return: bool, now_s: float) -> bool:
+        """Apply one event; return whether the view changed.
+
+        With `may_return`, a target whose registration is gone gets time to register
+        again before it is removed.
+        """
         if isinstance(event, TargetRegistered):
             return self._register(event.target)
         if isinstance(event, TargetRemoved):
-            return self._remove(event.target_id, store_was_unreachable, now_s)
+            return self._remove(event.target_id, may_return, now_s)
         if isinstance(event, ConfigurationPublished):
             return self._publish(event.configuration)
         if isinstance(event, ZoneTakenOut):
@@ -96,14 +98,14 @@
         return changed
 
     def replace_targets(
-        self, targets: Iterable[EntryTarget], store_was_unreachable: bool, now_s: float
+        self, targets: Iterable[EntryTarget], may_return: bool, now_s: float
     ) -> bool:
         """Replace all registrations; return whether the view changed."""
         listed = {target.target_id: target for target in targets}
         changed = False
         for target_id in list(self.targets):
             if target_id not in listed:
-                changed |= self._remove(target_id, store_was_unreachable, now_s)
+                changed |= self._remove(target_id, may_return, now_s)
         for target in listed.values():
             changed |= self._register(target)
         return changed
@@ -159,12 +161,10 @@
         self.targets[target.target_id] = target
         return was_pending or known is None or not known.is_equivalent_to(target)
 
-    def _remove(
-        self, target_id: str, store_was_unreachable: bool, now_s: float
-    ) -> bool:
+    def _remove(self, target_id: str, may_return: bool, now_s: float) -> bool:
         if target_id not in self.targets:
             return False
-        if store_was_unreachable:
+        if may_return:
             self._remove_at_s.setdefault(target_id, now_s + REREGISTRATION_WINDOW_S)
             return False
         if target_id in self._remove_at_s:
--- a/packages/baobabring/baobabring/entry/tests/test_shared_view.py
+++ b/packages/baobabring/baobabring/entry/tests/test_shared_view.py
@@ -5,8 +5,10 @@
     FleetStatus,
     InstanceChanges,
     SharedView,
+    StoreContents,
     TargetRegistered,
     TargetRemoved,
+    ZoneTakenOut,
 )
 from baobabring.entry.tests.builders import build_configuration, build_target
 
@@ -108,3 +110,113 @@
     assert other.apply_delta(reader.build_delta(10.0), 10.1)
     assert other.is_complete
     assert other.digest() == reader.digest()
+
+
+def build_pair() -> tuple[SharedView, SharedView]:
+    """Return the views of a reader and of a peer, both of era 1 at high offsets."""
+    reader = build_reader()
+    reader.name_era(1, 10.0)
+    reader.operator_offset = 20
+    reader.target_offset = 100
+    other = SharedView("other", "10.0.0.2:1")
+    other.apply_state(reader.build_state({}, 10.0), 10.0)
+    reader.mark_sent()
+    return reader, other
+
+
+def build_contents(version: int = 2, targets=(), zones=()) -> StoreContents:
+    """Return what the store has in era 2, at lower offsets than before."""
+    events = [ConfigurationPublished(build_configuration(version))]
+    events += [ZoneTakenOut(zone) for zone in zones]
+    return StoreContents(2, events, 17, targets, 60)
+
+
+def test_peer_takes_view_of_newer_era_at_lower_offsets():
+    reader, other = build_pair()
+    reader.begin_era(build_contents(version=9, targets=[build_target()]), 11.0)
+    delta = reader.build_delta(11.0)
+    assert other.apply_delta(delta, 11.0)
+    assert other.view.configuration.version == 9
+    assert (other.store_era, other.operator_offset, other.target_offset) == (2, 17, 60)
+
+
+def test_peer_requests_and_takes_complete_view_of_newer_era():
+    reader, other = build_pair()
+    reader.begin_era(build_contents(version=9), 11.0)
+    reader.view.apply(TargetRegistered(build_target("t-9")), False, 11.0)
+    heartbeat = reader.build_heartbeat(STATUS, 11.0)
+    assert not other.is_older(heartbeat)
+    assert other.apply_heartbeat(heartbeat, 11.0)
+    assert other.apply_state(reader.build_state({}, 11.0), 11.0)
+    assert other.view.configuration.version == 9
+    assert other.store_era == 2
+
+
+def test_heartbeat_of_newer_era_with_the_same_view_moves_the_offsets_back():
+    reader, other = build_pair()
+    reader.begin_era(build_contents(targets=[build_target()]), 11.0)
+    assert not other.apply_heartbeat(reader.build_heartbeat(STATUS, 11.0), 11.0)
+    assert (other.store_era, other.operator_offset, other.target_offset) == (2, 17, 60)
+
+
+def test_view_of_older_era_is_ignored_at_higher_offsets():
+    reader, other = build_pair()
+    reader.begin_era(build_contents(targets=[build_target()]), 11.0)
+    other.apply([ConfigurationPublished(build_configuration(5))], 11.0)
+    assert reader.is_older(other.build_heartbeat(STATUS, 11.0))
+    assert not reader.apply_heartbeat(other.build_heartbeat(STATUS, 11.0), 11.0)
+    assert not reader.apply_state(other.build_state({}, 11.0), 11.0)
+    assert (reader.store_era, reader.operator_offset) == (2, 17)
+
+
+def test_view_of_a_peer_that_names_no_era_is_ordered_by_offsets():
+    reader, other = build_pair()
+    other.store_era = None
+    other.operator_offset = 21
+    assert not reader.is_older(other.build_heartbeat(STATUS, 11.0))
+    other.operator_offset = 19
+    assert reader.is_older(other.build_heartbeat(STATUS, 11.0))
+    assert reader.store_era == 1
+
+
+def test_older_copy_takes_nothing_back():
+    reader, _ = build_pair()
+    reader.apply([ZoneTakenOut("south"), TargetRegistered(build_target("t-2"))], 10.5)
+    reader.apply([TargetRemoved("t-1")], 10.5)
+    reader.begin_era(build_contents(version=2, targets=[build_target()]), 11.0)
+    assert reader.view.configuration.version == 3
+    assert reader.view.zones_out == {"south"}
+    assert set(reader.view.targets) == {"t-2"}
+
+
+def test_target_missing_in_the_copy_is_removed_if_it_does_not_register_again():
+    reader, other = build_pair()
+    reader.begin_era(build_contents(), 11.0)
+    other.apply_heartbeat(reader.build_heartbeat(STATUS, 11.0), 11.0)
+    assert not reader.tick(12.9)
+    assert "t-1" in reader.view.targets
+    reader.confirm(12.9)
+    other.apply_heartbeat(reader.build_heartbeat(STATUS, 12.9), 12.9)
+    assert reader.tick(13.1)
+    assert other.apply_delta(reader.build_delta(13.1), 13.1)
+    assert not other.view.targets
+
+
+def test_change_after_the_return_does_not_remove_targets_at_peers_at_once():
+    reader, other = build_pair()
+    reader.begin_era(build_contents(), 11.0)
+    other.apply_heartbeat(reader.build_heartbeat(STATUS, 11.0), 11.0)
+    reader.apply([ConfigurationPublished(build_configuration(9))], 11.2)
+    other.apply_delta(reader.build_delta(11.2), 11.2)
+    assert other.view.configuration.version == 9
+    assert "t-1" in other.view.targets
+
+
+def test_instance_that_has_just_started_keeps_what_a_peer_told_it():
+    reader, _ = build_pair()
+    reader.apply([ZoneTakenOut("south")], 10.5)
+    newcomer = SharedView("new", "10.0.0.3:1")
+    newcomer.apply_state(reader.build_state({}, 10.6), 10.6)
+    newcomer.begin_era(build_contents(version=2), 11.0)
+    assert newcomer.view.configuration.version == 3
+    assert newcomer.view.zones_out == {"south"}
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -121,7 +121,7 @@
         started_at_s = self.clock.now_s()
         was_reader = self.schedule.is_reader
         failure = None
-        if not self.store_reader.operators_known:
+        if self.store_reader.must_read_all_operators():
             failure = await self.store_reader.read_operators(0)
         if failure is None:
             failure = await self.store_reader.read_targets()
@@ -264,8 +264,10 @@
         LOG.info(
             "older view of peer ignored",
             peer=message.sender,
+            peer_era=message.store_era,
             peer_operator_offset=message.operator_offset,
             peer_target_offset=message.target_offset,
+            era=self.shared_view.store_era,
             operator_offset=self.shared_view.operator_offset,
             target_offset=self.shared_view.target_offset,
             view_age_s=self._view_age_s(),
@@ -306,6 +308,7 @@
             targets=len(view.targets),
             draining=sum(target.draining for target in view.targets.values()),
             zones_out=sorted(view.zones_out),
+            era=self.shared_view.store_era,
             operator_offset=self.shared_view.operator_offset,
             target_offset=self.shared_view.target_offset,
             view_age_s=self._view_age_s(),
--- a/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
+++ b/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
@@ -5,6 +5,7 @@
 both without any other test noticing, since they encode and decode with the same code.
 """
 
+import msgspec
 import pytest
 
 from baobabring.balancing import ColdNotice, InFlightUpdate, TargetCount
@@ -35,7 +36,7 @@
     WeightedService,
 )
 from baobabring.membership import Heartbeat
-from baobabring.peers import StateReply, StateRequest
+from baobabring.peers import MessageCodec, MessageKind, StateReply, StateRequest
 from baobabring.platform import InstanceState
 from baobabring.probing import SharedProbe
 from baobabring.program._peer_messages import INSTANCE_MESSAGES
@@ -156,6 +157,7 @@
         instances=InstanceChanges(joined={"j": "127.0.0.1:2"}, left=["k"], digest=5),
         probes_per_s=6.0,
         failures={"t-1": 7},
+        store_era=8,
     ),
     "ViewState": ViewState(
         sender="i",
@@ -166,6 +168,7 @@
         targets=[ENTRY_TARGET],
         zones_out=["south"],
         instances={"i": "127.0.0.1:1"},
+        store_era=8,
     ),
     "ViewDelta": ViewDelta(
         sender="i",
@@ -177,6 +180,7 @@
         targets=[ENTRY_TARGET],
         removed=["t-2"],
         zones_out=["south"],
+        store_era=8,
     ),
     "ViewRequest": ViewRequest(sender="i", reply_address="127.0.0.1:1"),
     "HandoverCheck": HandoverCheck(sender="i", reply_address="127.0.0.1:1"),
@@ -240,21 +244,21 @@
         "020696a169ab3132372e302e302e313a31cb3ff800000000000081a3742d3102c3c2"
     ),
     "ViewHeartbeat": (
-        "020799a169ab3132372e302e302e313a310102cb4008000000000000049381a1"
-        "6aab3132372e302e302e313a3291a16b05cb401800000000000081a3742d3107"
+        "02079aa169ab3132372e302e302e313a310102cb4008000000000000049381a1"
+        "6aab3132372e302e302e313a3291a16b05cb401800000000000081a3742d310708"
     ),
     "ViewState": (
-        "020898a1690102cb400800000000000094079199a3722d31ac6d656e752e6578"
+        "020899a1690102cb400800000000000094079199a3722d31ac6d656e752e6578"
         "616d706c65a62f6d656e752fc39192a161cb4056800000000000cb4097700000"
         "000000cb4082c00000000000020381a16194a161a72f6865616c7468ccdccb40"
         "07333333333333940102cb4008000000000000cb40100000000000009199a374"
         "2d31a161ac3132372e302e302e313a3830a56e6f72746802c30405cb40180000"
-        "0000000091a5736f75746881a169ab3132372e302e302e313a31"
+        "0000000091a5736f75746881a169ab3132372e302e302e313a3108"
     ),
     "ViewDelta": (
-        "020a99a169010203cb4010000000000000c09199a3742d31a161ac3132372e30"
+        "020a9aa169010203cb4010000000000000c09199a3742d31a161ac3132372e30"
         "2e302e313a3830a56e6f72746802c30405cb401800000000000091a3742d3291"
-        "a5736f757468"
+        "a5736f75746808"
     ),
     "TargetLimitNotices": (
         "020b92a1699295a3742d3105cb4013333333333333cb401800000000000091a5"
@@ -276,6 +280,26 @@
     "HandoverBodyRead": "02119401020304",
     "HandoverCancel": "021293010203",
 }
+# As builds wrote them that did not know the store's era.
+EARLIER_FRAMES = {
+    "ViewHeartbeat": (
+        "020799a169ab3132372e302e302e313a310102cb4008000000000000049381a1"
+        "6aab3132372e302e302e313a3291a16b05cb401800000000000081a3742d3107"
+    ),
+    "ViewState": (
+        "020898a1690102cb400800000000000094079199a3722d31ac6d656e752e6578"
+        "616d706c65a62f6d656e752fc39192a161cb4056800000000000cb4097700000"
+        "000000cb4082c00000000000020381a16194a161a72f6865616c7468ccdccb40"
+        "07333333333333940102cb4008000000000000cb40100000000000009199a374"
+        "2d31a161ac3132372e302e302e313a3830a56e6f72746802c30405cb40180000"
+        "0000000091a5736f75746881a169ab3132372e302e302e313a31"
+    ),
+    "ViewDelta": (
+        "020a99a169010203cb4010000000000000c09199a3742d31a161ac3132372e30"
+        "2e302e313a3830a56e6f72746802c30405cb401800000000000091a3742d3291"
+        "a5736f757468"
+    ),
+}
 RECORDED_DIGESTS = (1710228617801480188, 13532897679264957911)
 
 
@@ -290,6 +314,24 @@
     assert codec.encode(message) == frame
 
 
+@pytest.mark.parametrize("name", EARLIER_FRAMES)
+def test_frame_of_earlier_build_is_read_without_the_added_field(name):
+    message = ENTRY_MESSAGES.decode(bytes.fromhex(EARLIER_FRAMES[name]))
+    assert message == msgspec.structs.replace(MESSAGES[name], store_era=None)
+
+
+@pytest.mark.parametrize("name", EARLIER_FRAMES)
+def test_earlier_build_reads_a_frame_and_ignores_the_added_field(name):
+    fields = msgspec.structs.fields(MESSAGES[name])
+    earlier_fields = [(f.name, f.type) for f in fields if f.name != "store_era"]
+    earlier_type = msgspec.defstruct(name, earlier_fields, array_like=True)
+    frame = bytes.fromhex(MESSAGE_FRAMES[name])
+    codec = MessageCodec({MessageKind(frame[1]): earlier_type})
+    message = codec.decode(frame)
+    earlier_frame = bytes.fromhex(EARLIER_FRAMES[name])
+    assert codec.encode(message) == earlier_frame
+
+
 def test_digests_of_view_and_list_are_as_recorded():
     # Instances whose digests differ send each other the whole view all the time.
     shared = SharedView("j", "127.0.0.1:2")
