--- a/packages/baobabring/baobabring/program/entry/_announcements.py
+++ b/packages/baobabring/baobabring/program/entry/_announcements.py
@@ -14,8 +14,8 @@
 # Longer than network partitions between regions last. An instance that was silent
 # for longer announces itself again.
 STALE_AFTER_S = 2 * 3_600.0
-# Each removal is a call to the store, so they are spread over several reads.
-REMOVALS_PER_READ = 8
+# Each write is a call to the store, so they are spread over several reads.
+WRITES_PER_READ = 8
 
 
 class Announcements:
@@ -65,13 +65,25 @@
             for instance_id, since_s in self._silent_since_s.items()
             if now_s - since_s >= STALE_AFTER_S
         ]
-        for instance_id in stale[:REMOVALS_PER_READ]:
+        for instance_id in stale[:WRITES_PER_READ]:
             failure = await self._put(instance_id, b"")
             if failure is not None:
                 LOG.info("announcement not removed", problem=failure.problem)
                 return
             LOG.info("announcement removed", instance=instance_id)
 
+    async def restore_missing(
+        self, announced: Mapping[str, str], live: Mapping[str, str]
+    ) -> int | StoreFailed:
+        """Announce some live instances that are missing; return how many remain."""
+        missing = sorted(live.keys() - announced.keys())
+        for instance_id in missing[:WRITES_PER_READ]:
+            failure = await self._put(instance_id, live[instance_id].encode())
+            if failure is not None:
+                return failure
+            LOG.info("announcement restored", instance=instance_id)
+        return len(missing[WRITES_PER_READ:])
+
     async def _put(self, instance_id: str, value: bytes) -> StoreFailed | None:
         failure = await self.store.put(INSTANCE_TOPIC, instance_id, value)
         STORE_CALLS.labels("Appended" if failure is None else "StoreFailed").inc()
--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -140,18 +140,27 @@
                 )
             )
 
-    async def refresh(self) -> None:
+    async def refresh(self) -> bool:
         """Discover, as the reader, instances that it removed or never knew.
 
-        After a long network partition both sides have removed each other.
+        After a long network partition both sides have removed each other. After a
+        return of the store from an older copy, announcements are missing. Return
+        whether all live instances are announced, as far as is known.
         """
         live = self.live_addresses()
         announced = await self._read_announcements()
         if isinstance(announced, StoreFailed):
             LOG.info("reading announcements failed", problem=announced.problem)
-            return
+            return True
         await self.announcements.announce(announced)
         await self.announcements.remove_stale(announced, live)
+        remaining = await self.announcements.restore_missing(
+            {**announced, self.instance_id: self.address}, live
+        )
+        if isinstance(remaining, StoreFailed):
+            LOG.info("announcement not restored", problem=remaining.problem)
+            return True
+        return remaining == 0
 
     def announce_leaving(self) -> None:
         """Notify the reader that this instance is leaving."""
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -77,8 +77,9 @@
         self._list_request_due_at_s = 0.0
         # Peers whose last view was ignored for being older than the own one.
         self._outdated_peers: set[str] = set()
+        self._announced_era: int | None = None
         self._wake_operator_reads = asyncio.Event()
-        self._became_reader = asyncio.Event()
+        self._refresh_instances = asyncio.Event()
         link.subscribe(ViewHeartbeat, self._on_heartbeat)
         link.subscribe(ViewState, self._on_state)
         link.subscribe(ViewDelta, self._on_delta)
@@ -137,9 +138,16 @@
         if not was_reader:
             LOG.info("became store reader", view_age_s=self._view_age_s())
             self._wake_operator_reads.set()
-            self._became_reader.set()
+            self._refresh_instances.set()
+        self._observe_era()
         self._broadcast_view()
 
+    def _observe_era(self) -> None:
+        """Check the announcements of instances when the store is in another era."""
+        if self.shared_view.store_era != self._announced_era:
+            self._announced_era = self.shared_view.store_era
+            self._refresh_instances.set()
+
     async def _run_operator_reads(self) -> None:
         while True:
             can_read = self.schedule.is_reader and not self._store_unreachable
@@ -168,12 +176,12 @@
         while True:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
-                    self._became_reader.wait(), INSTANCE_REFRESH_INTERVAL_S
+                    self._refresh_instances.wait(), INSTANCE_REFRESH_INTERVAL_S
                 )
-                self._became_reader.clear()
+                self._refresh_instances.clear()
                 await asyncio.sleep(INSTANCE_REFRESH_DELAY_S)
-            if self.schedule.is_reader:
-                await self.peer_task.refresh()
+            if self.schedule.is_reader and not await self.peer_task.refresh():
+                self._refresh_instances.set()
 
     def _on_read_failed(self, failure: StoreFailed) -> None:
         if not self._store_unreachable:
--- a/packages/baobabring/baobabring/program/entry/tests/test_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_peer_task.py
@@ -55,6 +55,12 @@
         """Record the instances that are announced but not live."""
         self.silent = set(announced) - set(live)
 
+    async def restore_missing(self, announced, live) -> int:
+        """Announce the live instances that are not announced."""
+        missing = live.keys() - announced.keys()
+        self.announced |= {instance_id: live[instance_id] for instance_id in missing}
+        return 0
+
 
 @pytest.fixture
 def clock() -> StepClock:
@@ -160,6 +166,15 @@
     assert peer_task.live_addresses().keys() == {"i-0"}
 
 
+async def test_refresh_announces_live_peers_again(peer_task):
+    peer_task.announcements.announced = {}
+    assert await peer_task.refresh()
+    assert peer_task.announcements.announced == {
+        "i-1": "10.0.0.1:1",
+        "i-2": "10.0.0.2:1",
+    }
+
+
 async def test_refresh_finds_peers_removed_during_network_partition(peer_task, clock):
     clock.at_s += PEER_TIMEOUT_S + 1
     peer_task._remove_silent()
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_store_copy.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_store_copy.py
@@ -21,6 +21,7 @@
 CALL_INTERVAL_S = 0.02
 SERVICES = ["menuboard", "feedesk"]
 TRAYS_RULE = build_rule("trays", "menuboard")
+INSTANCE_TOPIC = "keyed.instances"
 
 
 @pytest.fixture
@@ -165,3 +166,17 @@
     await return_store_from(fleet, copy, lambda: None)
     assert set(await collect_statuses(fleet, "/menu/1", 2.0)) == {200}
     assert not [run for run in leaving.runs if run.started_at_s > left_at_s]
+
+
+# Guards against an instance that nobody knows, because its announcement was lost.
+async def test_lost_announcements_are_written_again(fleet):
+    copy = fleet.store.take_copy()
+    lost_topics = {topic: r for topic, r in copy.items() if topic != INSTANCE_TOPIC}
+    await return_store_from(fleet, lost_topics, lambda: register_targets(fleet))
+    await asyncio.sleep(5.0)
+    announced = {record.key for record in fleet.store.take_copy()[INSTANCE_TOPIC]}
+    assert announced == {instance.name for instance in fleet.instances}
+    newcomer = fleet.instances[0]
+    await newcomer.kill()
+    await newcomer.start()
+    await fleet.wait_until_ready()
