--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -60,6 +60,7 @@
 )
 from baobabring.entry._probe_rate_budget import ProbeRateBudget
 from baobabring.entry._read_schedule import ReadSchedule, reader_sort_key
+from baobabring.entry._request_digest import digest_request
 from baobabring.entry._retry_budget import FleetRetryBudget
 from baobabring.entry._routes import RouteTable, WeightedRoundRobin
 from baobabring.entry._service_reachability import (
@@ -170,6 +171,7 @@
     "WorkEstimates",
     "ZoneReturned",
     "ZoneTakenOut",
+    "digest_request",
     "hedge_at_s",
     "is_newer_era",
     "reader_sort_key",
--- a/packages/baobabring/baobabring/program/entry/_attempt_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_attempt_runner.py
@@ -32,6 +32,7 @@
     is_of_expected_target,
     parse_load,
 )
+from baobabring.program.entry._crash_observer import CrashObserver
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._metrics import ENTRY_ATTEMPTS, ENTRY_STREAMS
 from baobabring.program.entry._progress import CallProgress
@@ -63,6 +64,7 @@
         failure_counts: FailureCounts,
         target_observer: TargetObserver,
         reachability_observer: ReachabilityObserver,
+        crash_observer: CrashObserver,
         pool: ConnectionPool,
         body_memory: BodyMemory,
         clock: Clock,
@@ -71,6 +73,7 @@
         self.failure_counts = failure_counts
         self.target_observer = target_observer
         self.reachability_observer = reachability_observer
+        self.crash_observer = crash_observer
         self.pool = pool
         self.body_memory = body_memory
         self.clock = clock
@@ -125,6 +128,7 @@
             self.target_observer.log_invalid_response(target, error, ResponseKind.CALL)
             if error.failure in INVALID_RESPONSE_FAILURES:
                 return AttemptLost(CallProblem.BAD_ANSWER)
+            self.crash_observer.on_connection_lost(call, target, sent_at_s)
             return AttemptLost(CallProblem.CONNECTION_LOST)
         now_s = self.clock.now_s()
         load = parse_load(response)
@@ -132,14 +136,14 @@
             assignment.record.record_load(load, now_s)
         if is_of_expected_target(response):
             self.reachability_observer.record_response(target)
-        return self._read_response(call, assignment, response, now_s - sent_at_s)
+        return self._read_response(call, assignment, response, sent_at_s)
 
     def _read_response(
         self,
         call: EntryCall,
         assignment: Assignment,
         response: HttpResponse,
-        took_s: float,
+        sent_at_s: float,
     ) -> AttemptEnd:
         is_not_run = is_not_run_response(response)
         if is_not_run or not has_target_signature(response):
@@ -149,9 +153,10 @@
                 AttemptNotRun() if is_not_run else AttemptLost(CallProblem.BAD_ANSWER)
             )
         if response.status in SUCCESS_STATUSES:
+            took_s = self.clock.now_s() - sent_at_s
             self._record_work(call, assignment.offer, response, took_s)
         if response.stream is not None:
-            self._follow_stream(call, assignment, response)
+            self._follow_stream(call, assignment, response, sent_at_s)
         headers = tuple(filter_response_headers(response))
         return AttemptAnswered(
             TargetResponse(
@@ -190,7 +195,11 @@
             self.failure_counts.count_failure(assignment.record.target.target_id)
 
     def _follow_stream(
-        self, call: EntryCall, assignment: Assignment, response: HttpResponse
+        self,
+        call: EntryCall,
+        assignment: Assignment,
+        response: HttpResponse,
+        sent_at_s: float,
     ) -> None:
         """Release the connection when the body ends, at the deadline at the latest."""
         loop = asyncio.get_running_loop()
@@ -203,7 +212,9 @@
             self._release(assignment)
             ENTRY_STREAMS.labels(call.service_id, end.value).inc()
             if end is BodyEnd.CUT_SHORT:
-                self.failure_counts.count_failure(assignment.record.target.target_id)
+                target = assignment.record.target
+                self.failure_counts.count_failure(target.target_id)
+                self.crash_observer.on_connection_lost(call, target, sent_at_s)
             elif end is BodyEnd.COMPLETE:
                 transfer_ms = (loop.time() - headers_at_s) * MS_PER_S
                 self.ranker.estimates.record_transfer(call.route, transfer_ms)
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -43,6 +43,7 @@
 )
 from baobabring.program.entry._attempt_runner import AttemptRunner
 from baobabring.program.entry._call_runner import CallRunner
+from baobabring.program.entry._crash_observer import CrashObserver
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._forwarder import Forwarder
 from baobabring.program.entry._handover_client import HandoverClient
@@ -193,6 +194,7 @@
                 self.failure_counts,
                 target_observer,
                 reachability_observer,
+                CrashObserver(self.pool, self.pauses, self.clock),
                 self.pool,
                 body_memory,
                 self.clock,
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -63,6 +63,11 @@
     "Calls and probes sent to targets within a pause that they had asked for.",
     ("kind",),
 )
+LOST_CALLS = Counter(
+    "baobabring_entry_lost_calls_total",
+    "Calls whose connection was lost, by whether their target has ended or is running.",
+    ("target",),
+)
 LIMITED_REQUESTS = Counter(
     "baobabring_entry_limited_requests_total",
     "Calls and probes sent to targets that announce a rate limit.",
