--- a/packages/baobabring/baobabring/entry/__init__.py
+++ b/packages/baobabring/baobabring/entry/__init__.py
@@ -8,6 +8,8 @@
     SendCall,
 )
 from baobabring.entry._cold_start_limiter import ColdStartLimiter
+from baobabring.entry._crash_messages import CrashNotice, CrashNotices, TargetCrash
+from baobabring.entry._crash_suspects import CrashSuspects
 from baobabring.entry._estimates import WorkEstimates
 from baobabring.entry._fleet_shares import FleetShares
 from baobabring.entry._handover_messages import (
@@ -113,6 +115,9 @@
     "RankerSettings",
     "ColdStartLimiter",
     "ConfigurationPublished",
+    "CrashNotice",
+    "CrashNotices",
+    "CrashSuspects",
     "Decision",
     "Delivered",
     "EntryCall",
@@ -150,6 +155,7 @@
     "SendCall",
     "SharedView",
     "StoreContents",
+    "TargetCrash",
     "TargetResponse",
     "TargetGate",
     "TargetLimitNotices",
--- a/packages/baobabring/baobabring/entry/_fleet_shares.py
+++ b/packages/baobabring/baobabring/entry/_fleet_shares.py
@@ -37,16 +37,15 @@
         """Return the position of this instance among those that may use a target."""
         rank = self._ranks.get(target_id)
         if rank is None:
-            rank = self._count_instances_before(target_id)
+            rank = self.count_instances_before(target_id)
             self._ranks[target_id] = rank
         return rank
 
-    def _count_instances_before(self, target_id: str) -> int:
-        own_hash = _hash(self.instance_id, target_id)
-        return sum(
-            _hash(instance, target_id) < own_hash for instance in self._instances
-        )
+    def count_instances_before(self, key: str) -> int:
+        """Return how many instances come before this one in the order for a key."""
+        own_hash = _hash(self.instance_id, key)
+        return sum(_hash(instance, key) < own_hash for instance in self._instances)
 
 
-def _hash(instance_id: str, target_id: str) -> int:
-    return xxhash.xxh64_intdigest(f"{instance_id}/{target_id}".encode())
+def _hash(instance_id: str, key: str) -> int:
+    return xxhash.xxh64_intdigest(f"{instance_id}/{key}".encode())
--- a/packages/baobabring/baobabring/entry/_outcomes.py
+++ b/packages/baobabring/baobabring/entry/_outcomes.py
@@ -19,6 +19,7 @@
     TARGETS_REFUSED = "targets-refused"
     TARGETS_LIMITED = "targets-limited"
     TARGETS_UNREACHABLE = "targets-unreachable"
+    CRASHES_TARGETS = "crashes-targets"
     CONNECTION_LOST = "connection-lost"
     BAD_ANSWER = "bad-answer"
     TIMEOUT = "timeout"
--- a/packages/baobabring/baobabring/entry/_service_reachability.py
+++ b/packages/baobabring/baobabring/entry/_service_reachability.py
@@ -54,6 +54,11 @@
 
     def __init__(self) -> None:
         self._links: dict[str, _ServiceLinks] = {}
+        self._service_ids: frozenset[str] = frozenset()
+
+    def has_lost_all(self) -> bool:
+        """Return whether no target of any service can be reached."""
+        return bool(self._service_ids) and all(map(self.is_lost, self._service_ids))
 
     def is_lost(self, service_id: str) -> bool:
         """Return whether no target of a service can be reached."""
@@ -97,6 +102,7 @@
         return ServiceRegained(service_id, now_s - links.lost_at_s)
 
     def keep_services(self, service_ids: Collection[str]) -> None:
-        """Forget the services that are no longer configured."""
-        for service_id in self._links.keys() - set(service_ids):
+        """Set the configured services and forget all others."""
+        self._service_ids = frozenset(service_ids)
+        for service_id in self._links.keys() - self._service_ids:
             del self._links[service_id]
--- a/packages/baobabring/baobabring/peers/_codec.py
+++ b/packages/baobabring/baobabring/peers/_codec.py
@@ -38,6 +38,7 @@
     HANDOVER_BODY_PART = 16
     HANDOVER_BODY_READ = 17
     HANDOVER_CANCEL = 18
+    CRASH_NOTICES = 19
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/baobabring/baobabring/program/entry/_call_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_call_runner.py
@@ -200,6 +200,7 @@
             route=call.route.route_id,
             service=call.service_id,
             tried=progress.tried_targets,
+            request=progress.request_digest,
             handed_over_by=progress.handed_over_by,
             handed_over_to=progress.handed_over_to,
             took_ms=round(took_s * MS_PER_S, 1),
--- /dev/null
+++ b/packages/baobabring/baobabring/program/entry/_crash_exchange.py
@@ -0,0 +1,52 @@
+"""Exchange of the requests that crashed targets, by way of the store's reader."""
+
+import asyncio
+
+from baobabring.entry import CrashNotices
+from baobabring.program._peer_link import PeerLink
+from baobabring.program.entry._crash_guard import CrashGuard
+from baobabring.program.entry._peer_task import PeerTask
+from baobabring.utils import Clock
+
+# Crashes in quick succession are sent together.
+SEND_INTERVAL_S = 0.1
+
+
+class CrashExchange:
+    """Send what this instance saw to the reader, which passes it on to all."""
+
+    def __init__(
+        self, guard: CrashGuard, peer_task: PeerTask, link: PeerLink, clock: Clock
+    ) -> None:
+        self.guard = guard
+        self.peer_task = peer_task
+        self.link = link
+        self.clock = clock
+        link.subscribe(CrashNotices, self._on_notices)
+
+    async def run(self) -> None:
+        """Send notices until cancelled."""
+        while True:
+            await asyncio.sleep(SEND_INTERVAL_S)
+            self.guard.expire()
+            self._send_notices()
+
+    def _send_notices(self) -> None:
+        is_reader = self.peer_task.is_reader()
+        reader_address = self.peer_task.reader_address
+        if not is_reader and reader_address is None:
+            return
+        suspects = self.guard.suspects
+        notices = suspects.pop_notices(is_reader, self.clock.now_s())
+        if not notices:
+            return
+        message = CrashNotices(self.peer_task.instance_id, notices)
+        if is_reader:
+            self.link.broadcast(message)
+        else:
+            self.link.send(reader_address, message)
+
+    def _on_notices(self, message: CrashNotices) -> None:
+        passes_on = self.peer_task.is_reader()
+        for notice in message.notices:
+            self.guard.apply_notice(notice, message.sender, passes_on)
--- a/packages/baobabring/baobabring/program/entry/_forwarder.py
+++ b/packages/baobabring/baobabring/program/entry/_forwarder.py
@@ -7,6 +7,7 @@
     AttemptAnswered,
     AttemptEnd,
     AttemptLost,
+    BodyEnd,
     CallProblem,
     Delivered,
     EntryOutcome,
@@ -18,6 +19,7 @@
     hedge_at_s,
 )
 from baobabring.program.entry._attempt_runner import AttemptRunner, is_failure
+from baobabring.program.entry._crash_guard import CrashGuard
 from baobabring.program.entry._handover_client import HandoverClient, HandoverLost
 from baobabring.program.entry._progress import CallProgress
 from baobabring.program.entry._target_chooser import MIN_TIME_LEFT_S, TargetChooser
@@ -37,6 +39,7 @@
         handovers: HandoverClient,
         admission: Admission,
         retry_budget: FleetRetryBudget,
+        crash_guard: CrashGuard,
         clock: Clock,
     ) -> None:
         self.chooser = chooser
@@ -44,13 +47,14 @@
         self.handovers = handovers
         self.admission = admission
         self.retry_budget = retry_budget
+        self.crash_guard = crash_guard
         self.clock = clock
 
     async def forward(self, progress: CallProgress) -> EntryOutcome:
         """Attempt a call at targets until it has an outcome, and return the outcome."""
         call = progress.call
         while True:
-            assignment = await self.chooser.choose(progress)
+            assignment = await self._choose(progress)
             if isinstance(assignment, RefuseCall):
                 outcome = await self._hand_over_or_refuse(progress, assignment)
                 if outcome is not None:
@@ -65,6 +69,21 @@
             if outcome is not None:
                 return outcome
 
+    async def _choose(self, progress: CallProgress) -> Assignment | RefuseCall:
+        """Return the assignment of a call to a target, or the decision to refuse it."""
+        refusal = self.crash_guard.check(progress)
+        if refusal is not None:
+            return refusal
+        assignment = await self.chooser.choose(progress)
+        if isinstance(assignment, RefuseCall):
+            return assignment
+        # Targets may have ended under the same request while this one waited.
+        refusal = self.crash_guard.check(progress)
+        if refusal is not None:
+            self.chooser.release(assignment)
+            return refusal
+        return assignment
+
     async def _hand_over_or_refuse(
         self, progress: CallProgress, refusal: RefuseCall
     ) -> EntryOutcome | None:
@@ -101,6 +120,14 @@
         self, progress: CallProgress, assignment: Assignment
     ) -> AttemptEnd:
         """Attempt a call, and also at a second target if the first one is late."""
+        with self.crash_guard.attempt(progress):
+            if self.crash_guard.needs_caution(progress):
+                return await self.attempts.run(progress, assignment)
+            return await self._attempt_and_hedge(progress, assignment)
+
+    async def _attempt_and_hedge(
+        self, progress: CallProgress, assignment: Assignment
+    ) -> AttemptEnd:
         call = progress.call
         attempts_made = progress.attempts_made + 1
         now_s = self.clock.now_s()
@@ -138,7 +165,7 @@
                 continue
             if self._try_spend_hedge(progress):
                 return second
-            self.chooser.prober.release(second.probe_response)
+            self.chooser.release(second)
         return None
 
     async def _first_success(self, attempts: list[asyncio.Task]) -> AttemptEnd:
@@ -164,6 +191,8 @@
         call = progress.call
         if isinstance(end, AttemptAnswered):
             progress.last_response = end.response
+            if not is_failure(end):
+                self._record_success(progress, end)
             repeatable = call.route.idempotent and is_failure(end)
             if repeatable and self._try_spend_retry(progress):
                 return None
@@ -178,21 +207,41 @@
         refusal = self.admission.refuse_after_target(call, offer, self.clock.now_s())
         return self._refused_outcome(progress, refusal)
 
+    def _record_success(self, progress: CallProgress, end: AttemptAnswered) -> None:
+        """Record that a call was served, once all of its body was received."""
+        if end.response.stream is None:
+            self.crash_guard.record_success(progress)
+            return
+
+        def on_end(body_end: BodyEnd) -> None:
+            if body_end is BodyEnd.COMPLETE:
+                self.crash_guard.record_success(progress)
+
+        end.response.stream.add_end_callback(on_end)
+
     def _try_spend_retry(self, progress: CallProgress) -> bool:
         """Return whether another attempt is allowed, and spend a retry if so."""
         call = progress.call
         now_s = self.clock.now_s()
-        if not _may_attempt_again(progress, now_s):
+        if not self._may_attempt_again(progress, now_s):
             return False
         return self.retry_budget.try_spend_retry(call.service_id, now_s)
 
     def _try_spend_hedge(self, progress: CallProgress) -> bool:
         """Return whether a hedged attempt is allowed, and count it if so."""
         now_s = self.clock.now_s()
-        if not _may_attempt_again(progress, now_s):
+        if not self._may_attempt_again(progress, now_s):
             return False
         return self.retry_budget.try_spend_hedge(progress.call.service_id, now_s)
 
+    def _may_attempt_again(self, progress: CallProgress, now_s: float) -> bool:
+        call = progress.call
+        if progress.attempts_made >= call.route.attempt_limit:
+            return False
+        if self.crash_guard.needs_caution(progress):
+            return False
+        return now_s + MIN_TIME_LEFT_S < call.deadline_s
+
     def _refused_outcome(
         self, progress: CallProgress, refusal: RefuseCall
     ) -> EntryOutcome:
@@ -209,13 +258,6 @@
         return Undetermined(problem)
 
 
-def _may_attempt_again(progress: CallProgress, now_s: float) -> bool:
-    call = progress.call
-    if progress.attempts_made >= call.route.attempt_limit:
-        return False
-    return now_s + MIN_TIME_LEFT_S < call.deadline_s
-
-
 def _abandon_unused_stream(attempt: asyncio.Task, used: AttemptEnd | None) -> None:
     """Abandon the stream of an attempt's response unless that is the one used."""
     if not attempt.done() or attempt.cancelled() or attempt.exception():
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -15,6 +15,7 @@
     Admission,
     CallerLimits,
     ColdStartLimiter,
+    CrashSuspects,
     EntrySettings,
     FleetRetryBudget,
     FleetShares,
@@ -43,6 +44,8 @@
 )
 from baobabring.program.entry._attempt_runner import AttemptRunner
 from baobabring.program.entry._call_runner import CallRunner
+from baobabring.program.entry._crash_exchange import CrashExchange
+from baobabring.program.entry._crash_guard import CrashGuard
 from baobabring.program.entry._crash_observer import CrashObserver
 from baobabring.program.entry._failure_counts import FailureCounts
 from baobabring.program.entry._forwarder import Forwarder
@@ -148,6 +151,10 @@
         )
         self.retry_budget = FleetRetryBudget(settings.limits)
         self.pool = ConnectionPool()
+        crash_guard = CrashGuard(CrashSuspects(), self.shares, self.clock)
+        self.crash_exchange = CrashExchange(
+            crash_guard, self.peer_task, self.link, self.clock
+        )
         admission = Admission(rng)
         body_memory = BodyMemory(settings.body_memory_bytes)
         BODY_BYTES.set_function(lambda: body_memory.held_bytes)
@@ -194,7 +201,13 @@
                 self.failure_counts,
                 target_observer,
                 reachability_observer,
-                CrashObserver(self.pool, self.pauses, self.clock),
+                CrashObserver(
+                    self.pool,
+                    self.pauses,
+                    self.reachability,
+                    crash_guard,
+                    self.clock,
+                ),
                 self.pool,
                 body_memory,
                 self.clock,
@@ -202,6 +215,7 @@
             self.handover_client,
             admission,
             self.retry_budget,
+            crash_guard,
             self.clock,
         )
         self.call_runner = CallRunner(self.shared_view, forwarder, self.clock, rng)
@@ -265,6 +279,7 @@
                 ("settings", self.settings_task.run),
                 ("housekeeping", self._run_housekeeping),
                 ("handovers", self.handover_client.run),
+                ("crash exchange", self.crash_exchange.run),
                 ("lost services", self.lost_service_prober.run),
             ):
                 group.create_task(supervise(name, run))
--- a/packages/baobabring/baobabring/program/entry/_metrics.py
+++ b/packages/baobabring/baobabring/program/entry/_metrics.py
@@ -68,6 +68,14 @@
     "Calls whose connection was lost, by whether their target has ended or is running.",
     ("target",),
 )
+REQUEST_CRASHES = Counter(
+    "baobabring_entry_request_crashes_total",
+    "Targets that ended while they ran a call of this instance, once for each request.",
+)
+BLOCKED_REQUESTS = Gauge(
+    "baobabring_entry_blocked_requests",
+    "Requests that are not sent, since they crashed several targets.",
+)
 LIMITED_REQUESTS = Counter(
     "baobabring_entry_limited_requests_total",
     "Calls and probes sent to targets that announce a rate limit.",
--- a/packages/baobabring/baobabring/program/entry/_peer_messages.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_messages.py
@@ -1,6 +1,7 @@
 """Messages that entry instances send to each other."""
 
 from baobabring.entry import (
+    CrashNotices,
     HandedOverCall,
     HandoverBodyPart,
     HandoverBodyRead,
@@ -32,6 +33,7 @@
         MessageKind.HANDOVER_BODY_PART: HandoverBodyPart,
         MessageKind.HANDOVER_BODY_READ: HandoverBodyRead,
         MessageKind.HANDOVER_CANCEL: HandoverCancel,
+        MessageKind.CRASH_NOTICES: CrashNotices,
     },
     uncompressed=(
         MessageKind.HANDED_OVER_CALL,
--- a/packages/baobabring/baobabring/program/entry/_progress.py
+++ b/packages/baobabring/baobabring/program/entry/_progress.py
@@ -36,6 +36,8 @@
     # The peer that handed the call over, and the one to which it was handed over.
     handed_over_by: str | None = None
     handed_over_to: str | None = None
+    # Set while any request is suspected of crashing targets.
+    request_digest: str | None = None
     # Handovers after which it is unknown what the peer did.
     lost_handovers: int = 0
 
--- a/packages/baobabring/baobabring/program/entry/_target_chooser.py
+++ b/packages/baobabring/baobabring/program/entry/_target_chooser.py
@@ -105,6 +105,10 @@
             self.prober.release(decision.probe_response)
         return None
 
+    def release(self, assignment: Assignment) -> None:
+        """Give back an assignment by which nothing was sent."""
+        self.prober.release(assignment.probe_response)
+
     async def _probe_and_decide(
         self, progress: CallProgress, excluded_targets: frozenset[str]
     ) -> Assignment | RefuseCall | ProbeAgain:
--- a/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
+++ b/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
@@ -11,6 +11,8 @@
 from baobabring.balancing import ColdNotice, InFlightUpdate, TargetCount
 from baobabring.entry import (
     CallerLimits,
+    CrashNotice,
+    CrashNotices,
     EntryConfiguration,
     EntryRoute,
     EntryService,
@@ -28,6 +30,7 @@
     LeavingTarget,
     LimitNotice,
     SharedView,
+    TargetCrash,
     TargetLimitNotices,
     ViewDelta,
     ViewHeartbeat,
@@ -43,6 +46,7 @@
 from baobabring.program.entry._peer_messages import ENTRY_MESSAGES
 
 ENTRY_MESSAGE_TYPES = (
+    CrashNotices,
     HandedOverCall,
     HandoverBodyPart,
     HandoverBodyRead,
@@ -230,6 +234,17 @@
         sender_session=1, session=2, number=3, read_bytes=4
     ),
     "HandoverCancel": HandoverCancel(sender_session=1, session=2, number=3),
+    "CrashNotices": CrashNotices(
+        sender="i",
+        notices=[
+            CrashNotice(
+                digest="ab",
+                crashes=[TargetCrash(target_id="t-1", started_at_ms=5, age_ms=6.0)],
+                last_age_ms=1.0,
+                cleared_age_ms=None,
+            )
+        ],
+    ),
 }
 MESSAGE_FRAMES = {
     "Heartbeat": (
@@ -279,6 +294,10 @@
     "HandoverBodyPart": "0210940103c4017aa8636f6d706c657465",
     "HandoverBodyRead": "02119401020304",
     "HandoverCancel": "021293010203",
+    "CrashNotices": (
+        "021392a1699194a261629193a3742d3105cb4018000000000000cb3ff0000000"
+        "000000c0"
+    ),
 }
 # As builds wrote them that did not know the store's era.
 EARLIER_FRAMES = {
