--- a/packages/baobabring/baobabring/entry/_handover_messages.py
+++ b/packages/baobabring/baobabring/entry/_handover_messages.py
@@ -76,12 +76,16 @@
 
 
 class HandoverBodyPart(msgspec.Struct, array_like=True, frozen=True):
-    """Send the next part of a body, or how its receipt ended."""
+    """Send the next part of a body, or how its receipt ended.
+
+    `offset_bytes` is the length of all earlier parts, None from earlier builds.
+    """
 
     session: int
     number: int
     data: bytes
     end: str | None = None
+    offset_bytes: int | None = None
 
 
 class HandoverBodyRead(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/baobabring/baobabring/program/entry/_handed_over_body.py
+++ b/packages/baobabring/baobabring/program/entry/_handed_over_body.py
@@ -29,8 +29,14 @@
         on_read: Callable[[int], None],
     ) -> None:
         super().__init__(length_bytes, memory, _NoTransport())
+        self.received_bytes = 0
         self._on_read = on_read
 
+    def feed(self, data: bytes) -> None:
+        """Add the bytes of a part."""
+        self.received_bytes += len(data)
+        super().feed(data)
+
     async def read(self, size_bytes: int) -> bytes:
         """Return the next bytes, none at the end; raises `BodyEndedError`."""
         part = await super().read(size_bytes)
--- a/packages/baobabring/baobabring/program/entry/_handover_client.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_client.py
@@ -301,8 +301,22 @@
         if entry is None or part.session != self.session:
             return
         body = entry[0]
+        if part.offset_bytes not in (None, body.received_bytes):
+            LOG.warning(
+                "part of a body lost",
+                peer=entry[1].instance_id,
+                number=part.number,
+                received_bytes=body.received_bytes,
+                offset_bytes=part.offset_bytes,
+            )
+            body.finish(BodyEnd.CUT_SHORT)
+            return
         if part.data:
             body.feed(part.data)
         if part.end is not None:
-            is_complete = part.end == BodyEnd.COMPLETE
+            is_complete = part.end == BodyEnd.COMPLETE and _has_whole_length(body)
             body.finish(BodyEnd.COMPLETE if is_complete else BodyEnd.CUT_SHORT)
+
+
+def _has_whole_length(body: HandedOverBody) -> bool:
+    return body.length_bytes in (None, body.received_bytes)
--- a/packages/baobabring/baobabring/program/entry/_handover_server.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_server.py
@@ -52,6 +52,7 @@
     tried_targets: list[str]
     outcome: asyncio.Future[EntryOutcome] | None = None
     stream: BodyStream | None = None
+    sent_bytes: int = 0
     window_bytes: int = BODY_WINDOW_BYTES
     window_opened: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -264,7 +265,10 @@
 
     def _send_part(self, call: _TakenCall, data: bytes, end: str | None) -> bool:
         message = call.message
-        part = HandoverBodyPart(message.sender_session, message.number, data, end)
+        part = HandoverBodyPart(
+            message.sender_session, message.number, data, end, call.sent_bytes
+        )
+        call.sent_bytes += len(data)
         return self.link.send(message.reply_address, part)
 
     def _on_body_read(self, message: HandoverBodyRead) -> None:
