--- a/packages/baobabring/baobabring/entry/_handover_messages.py
+++ b/packages/baobabring/baobabring/entry/_handover_messages.py
@@ -89,12 +89,17 @@
 
 
 class HandoverBodyRead(msgspec.Struct, array_like=True, frozen=True):
-    """Allow a peer to send as many more bytes of a body as were read."""
+    """Allow a peer to send as many more bytes of a body as were read.
+
+    `total_read_bytes` counts what earlier messages reported as well, since they may be
+    lost; it is None from earlier builds.
+    """
 
     sender_session: int
     session: int
     number: int
     read_bytes: int
+    total_read_bytes: int | None = None
 
 
 class HandoverCancel(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/baobabring/baobabring/program/entry/_handed_over_body.py
+++ b/packages/baobabring/baobabring/program/entry/_handed_over_body.py
@@ -20,16 +20,27 @@
 
 
 class HandedOverBody(ReceivedBody):
-    """Receive a body from a peer, which sends on as parts are read."""
+    """Receive a body from a peer, which sends on as parts are read.
+
+    Parameters
+    ----------
+    length_bytes : int or None
+        Length of the body, None if it is not known.
+    memory : BodyMemory
+        Count of the bytes that all bodies hold.
+    on_read : callable
+        Called with the length of each part that is read, and with that of all so far.
+    """
 
     def __init__(
         self,
         length_bytes: int | None,
         memory: BodyMemory,
-        on_read: Callable[[int], None],
+        on_read: Callable[[int, int], None],
     ) -> None:
         super().__init__(length_bytes, memory, _NoTransport())
         self.received_bytes = 0
+        self._read_bytes = 0
         self._on_read = on_read
 
     def feed(self, data: bytes) -> None:
@@ -40,6 +51,7 @@
     async def read(self, size_bytes: int) -> bytes:
         """Return the next bytes, none at the end; raises `BodyEndedError`."""
         part = await super().read(size_bytes)
+        self._read_bytes += len(part)
         if part and self.end is None:
-            self._on_read(len(part))
+            self._on_read(len(part), self._read_bytes)
         return part
--- a/packages/baobabring/baobabring/program/entry/_handover_client.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_client.py
@@ -278,8 +278,10 @@
     ) -> HandedOverBody:
         number, peer = response.number, pending.peer
 
-        def on_read(read_bytes: int) -> None:
-            read = HandoverBodyRead(self.session, pending.session, number, read_bytes)
+        def on_read(read_bytes: int, total_read_bytes: int) -> None:
+            read = HandoverBodyRead(
+                self.session, pending.session, number, read_bytes, total_read_bytes
+            )
             self.link.send(peer.address, read)
 
         def on_end(end: BodyEnd) -> None:
--- a/packages/baobabring/baobabring/program/entry/_handover_server.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_server.py
@@ -53,9 +53,15 @@
     outcome: asyncio.Future[EntryOutcome] | None = None
     stream: BodyStream | None = None
     sent_bytes: int = 0
-    window_bytes: int = BODY_WINDOW_BYTES
+    # Bytes that the peer has read, as far as is known.
+    read_bytes: int = 0
     window_opened: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @property
+    def is_window_full(self) -> bool:
+        """Return whether the peer must read more before it gets another part."""
+        return self.sent_bytes - self.read_bytes >= BODY_WINDOW_BYTES
+
 
 class HandoverServer:
     """Take calls of peers as this instance's own, and send them the outcomes."""
@@ -228,7 +234,7 @@
             return
         if call.stream is not None:
             call.stream.abandon()
-            call.window_bytes = BODY_WINDOW_BYTES
+            call.read_bytes = call.sent_bytes
             call.window_opened.set()
         elif isinstance(call.outcome, asyncio.Task):
             self.call_runner.on_caller_disconnect(call.outcome)
@@ -252,13 +258,12 @@
         """Send the parts of a body, and return how its receipt ended."""
         try:
             while data := await stream.read(BODY_PART_BYTES):
-                while call.window_bytes <= 0:
+                while call.is_window_full:
                     call.window_opened.clear()
                     await call.window_opened.wait()
                 if not self._send_part(call, data, None):
                     LOG.warning("part of a body dropped", peer=call.message.sender)
                     return BodyEnd.CUT_SHORT
-                call.window_bytes -= len(data)
         except BodyEndedError as error:
             return error.end
         return BodyEnd.COMPLETE
@@ -275,7 +280,10 @@
         call = self._calls.get((message.sender_session, message.number))
         if call is None or message.session != self.session:
             return
-        call.window_bytes += message.read_bytes
+        if message.total_read_bytes is None:
+            call.read_bytes += message.read_bytes
+        else:
+            call.read_bytes = max(call.read_bytes, message.total_read_bytes)
         call.window_opened.set()
 
 
