--- a/packages/baobabring/baobabring/entry/_handover_messages.py
+++ b/packages/baobabring/baobabring/entry/_handover_messages.py
@@ -28,7 +28,10 @@
 
 
 class HandedOverCall(msgspec.Struct, array_like=True, frozen=True):
-    """Hand a call over, to be sent to none of the targets that were tried already."""
+    """Hand a call over, to be sent to none of the targets that were tried already.
+
+    `service_id` is the service that was chosen by weight, None from earlier builds.
+    """
 
     sender: str
     reply_address: str
@@ -44,6 +47,7 @@
     body: bytes
     tried_targets: list[str]
     lost_handovers: int
+    service_id: str | None = None
 
 
 class LeavingTarget(msgspec.Struct, array_like=True, frozen=True):
--- a/packages/baobabring/baobabring/program/entry/_call_runner.py
+++ b/packages/baobabring/baobabring/program/entry/_call_runner.py
@@ -88,7 +88,7 @@
         self, request: CallerRequest, origin: HandoverOrigin | None = None
     ) -> asyncio.Future[EntryOutcome]:
         """Start a call of a caller or a peer, and return a future of its outcome."""
-        call = self._build_call(request)
+        call = self._build_call(request, origin)
         if not isinstance(call, EntryCall):
             return self._end_unforwarded(request, call)
         if origin is None:
@@ -134,7 +134,9 @@
         retry_at_s = self.clock.now_s() + DEFAULT_RETRY_DELAY_S
         return NotRun(CallProblem.INTERNAL, retry_at_s)
 
-    def _build_call(self, request: CallerRequest) -> EntryCall | EntryOutcome:
+    def _build_call(
+        self, request: CallerRequest, origin: HandoverOrigin | None
+    ) -> EntryCall | EntryOutcome:
         if not self.shared_view.is_complete:
             retry_at_s = request.arrived_at_s + DEFAULT_RETRY_DELAY_S
             return NotRun(CallProblem.NO_CONFIGURATION, retry_at_s)
@@ -151,7 +153,7 @@
         return EntryCall(
             call_id=call_id.decode("latin-1"),
             route=route,
-            service_id=self._round_robins[route.route_id].next_service(),
+            service_id=self._choose_service(route, origin),
             method=request.method,
             path=request.path,
             headers=tuple(request.headers),
@@ -161,6 +163,13 @@
             goal_at_s=arrived_at_s + route.latency_goal_ms / MS_PER_S,
         )
 
+    def _choose_service(self, route: EntryRoute, origin: HandoverOrigin | None) -> str:
+        """Return the service that a peer chose for a call, else the next by weight."""
+        services = {part.service_id for part in route.services}
+        if origin is not None and origin.service_id in services:
+            return origin.service_id
+        return self._round_robins[route.route_id].next_service()
+
     def _reuse_round_robin(self, route: EntryRoute) -> WeightedRoundRobin:
         known = self._round_robins.get(route.route_id)
         if known is not None and known.services == route.services:
--- a/packages/baobabring/baobabring/program/entry/_handover_client.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_client.py
@@ -235,6 +235,7 @@
             body=call.body,
             tried_targets=progress.tried_targets,
             lost_handovers=progress.lost_handovers,
+            service_id=call.service_id,
         )
 
     def _read_outcome(
--- a/packages/baobabring/baobabring/program/entry/_handover_server.py
+++ b/packages/baobabring/baobabring/program/entry/_handover_server.py
@@ -136,6 +136,7 @@
                 message.deadline_s,
                 call.tried_targets,
                 message.lost_handovers,
+                message.service_id,
             ),
         )
         task = asyncio.ensure_future(self._respond(key, call))
--- a/packages/baobabring/baobabring/program/entry/_progress.py
+++ b/packages/baobabring/baobabring/program/entry/_progress.py
@@ -9,13 +9,15 @@
 class HandoverOrigin:
     """Represent the peer that handed a call over, and the limits that it set.
 
-    The targets that are tried here are added to `tried_targets`.
+    The targets that are tried here are added to `tried_targets`. `service_id` is the
+    service that the peer chose by weight, None if an earlier build did not name it.
     """
 
     peer_id: str
     deadline_s: float
     tried_targets: list[str]
     lost_handovers: int
+    service_id: str | None = None
 
 
 @dataclass(slots=True)
--- a/packages/baobabring/baobabring/program/entry/tests/test_handover.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_handover.py
@@ -219,6 +219,11 @@
     assert progress.tried_targets == ["t-1"]
 
 
+async def test_service_that_was_chosen_is_known_to_the_peer(handovers):
+    _, progress = await handovers.hand_over()
+    assert handovers.runner.origins[0].service_id == progress.call.service_id
+
+
 async def test_refusal_of_a_peer_is_a_true_not_run_with_its_retry_time(handovers):
     task, progress = await handovers.hand_over(idempotent=False)
     retry_at_s = handovers.server.clock.now_s() + 0.2
--- a/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
+++ b/packages/baobabring/baobabring/program/tests/test_recorded_messages.py
@@ -212,6 +212,7 @@
         body=b"x",
         tried_targets=["t-1"],
         lost_handovers=1,
+        service_id="a",
     ),
     "HandoverResponse": HandoverResponse(
         session=1,
@@ -283,9 +284,9 @@
     "HandoverCheck": "020c92a169ab3132372e302e302e313a31",
     "HandoverStatus": "020d97a16901a56e6f727468cb4000000000000000c391a16107",
     "HandedOverCall": (
-        "020e9ea169ab3132372e302e302e313a31010203cb4010000000000000cb4014"
+        "020e9fa169ab3132372e302e302e313a31010203cb4010000000000000cb4014"
         "00000000000007a4504f5354a72f6d656e752f319192c404686f7374c40c6d65"
-        "6e752e6578616d706c65c4017891a3742d3101"
+        "6e752e6578616d706c65c4017891a3742d3101a161"
     ),
     "HandoverResponse": (
         "020f9c0103ccc8a0c3cb3fe00000000000009192c40161c40162c40179c30691"
@@ -300,6 +301,11 @@
 }
 # As builds wrote them that did not know the last field.
 EARLIER_FRAMES = {
+    "HandedOverCall": (
+        "020e9ea169ab3132372e302e302e313a31010203cb4010000000000000cb4014"
+        "00000000000007a4504f5354a72f6d656e752f319192c404686f7374c40c6d65"
+        "6e752e6578616d706c65c4017891a3742d3101"
+    ),
     "HandoverBodyRead": "02119401020304",
     "HandoverBodyPart": "0210940103c4017aa8636f6d706c657465",
     "ViewHeartbeat": (
