--- a/packages/baobabring/baobabring/entry/_crash_messages.py
+++ b/packages/baobabring/baobabring/entry/_crash_messages.py
@@ -23,9 +23,26 @@
     last_age_ms: float | None
     cleared_age_ms: float | None
 
+    def with_added_age(self, added_ms: float) -> "CrashNotice":
+        """Return the notice as it is `added_ms` later."""
+        crashes = [
+            TargetCrash(c.target_id, c.started_at_ms, c.age_ms + added_ms)
+            for c in self.crashes
+        ]
+        return CrashNotice(
+            self.digest,
+            crashes,
+            _add_age(self.last_age_ms, added_ms),
+            _add_age(self.cleared_age_ms, added_ms),
+        )
+
 
 class CrashNotices(msgspec.Struct, array_like=True, frozen=True):
     """Pass on crashes of targets, to the reader or from it to all instances."""
 
     sender: str
     notices: list[CrashNotice]
+
+
+def _add_age(age_ms: float | None, added_ms: float) -> float | None:
+    return None if age_ms is None else age_ms + added_ms
--- a/packages/baobabring/baobabring/entry/_crash_suspects.py
+++ b/packages/baobabring/baobabring/entry/_crash_suspects.py
@@ -120,9 +120,17 @@
         """Return whether a request has crashed too many targets."""
         return self.crash_count(digest) >= MAX_CRASHES
 
-    def count_blocked(self) -> int:
-        """Return the number of requests that are blocked."""
-        return sum(suspect.is_blocked for suspect in self._suspects.values())
+    def blocked(self) -> list[tuple[str, float]]:
+        """Return the requests that are blocked, and when they were last attempted."""
+        return [
+            (digest, suspect.last_at_s)
+            for digest, suspect in self._suspects.items()
+            if suspect.is_blocked
+        ]
+
+    def build_notice(self, digest: str, now_s: float) -> CrashNotice:
+        """Return what is known of a request."""
+        return _build_notice(digest, self._suspects[digest], now_s)
 
     def refused_until_s(self, digest: str, rank: int, now_s: float) -> float | None:
         """Return until when a request must not be sent here, None if it may be sent.
--- a/packages/baobabring/baobabring/platform/records.py
+++ b/packages/baobabring/baobabring/platform/records.py
@@ -28,6 +28,8 @@
 TARGET_TOPIC = "keyed.servers"
 # Written by the instances themselves to announce their addresses.
 INSTANCE_TOPIC = "keyed.instances"
+# Requests that crashed several targets, by their digests.
+BLOCKED_REQUEST_TOPIC = "keyed.blocked-requests"
 CONFIGURATION_KEY = "config"
 ZONE_OUT_PREFIX = "evacuate/"
 # The calls of a route whose type is unknown here are not repeated either.
--- a/packages/baobabring/baobabring/program/entry/_crash_guard.py
+++ b/packages/baobabring/baobabring/program/entry/_crash_guard.py
@@ -107,7 +107,7 @@
     def expire(self) -> None:
         """Forget requests whose crashes were long ago."""
         self.suspects.expire(self.clock.now_s())
-        BLOCKED_REQUESTS.set(self.suspects.count_blocked())
+        BLOCKED_REQUESTS.set(len(self.suspects.blocked()))
 
     def _get_digest(self, progress: CallProgress) -> str | None:
         """Return the digest of a call's request, None while nothing is suspected."""
@@ -129,8 +129,8 @@
                 for (target_id, started_at_ms), at_s in self.suspects.crashes(digest)
             ],
         )
-        BLOCKED_REQUESTS.set(self.suspects.count_blocked())
+        BLOCKED_REQUESTS.set(len(self.suspects.blocked()))
 
     def _log_unblocked(self, digest: str, source: str) -> None:
         LOG.warning("request no longer blocked", request=digest, source=source)
-        BLOCKED_REQUESTS.set(self.suspects.count_blocked())
+        BLOCKED_REQUESTS.set(len(self.suspects.blocked()))
--- a/packages/baobabring/baobabring/program/entry/_instance.py
+++ b/packages/baobabring/baobabring/program/entry/_instance.py
@@ -43,6 +43,7 @@
     create_ready_app,
 )
 from baobabring.program.entry._attempt_runner import AttemptRunner
+from baobabring.program.entry._blocked_request_records import BlockedRequestRecords
 from baobabring.program.entry._call_runner import CallRunner
 from baobabring.program.entry._crash_exchange import CrashExchange
 from baobabring.program.entry._crash_guard import CrashGuard
@@ -155,6 +156,9 @@
         self.crash_exchange = CrashExchange(
             crash_guard, self.peer_task, self.link, self.clock
         )
+        self.blocked_requests = BlockedRequestRecords(
+            crash_guard, self.shared_view, self.peer_task, self.store, self.clock
+        )
         admission = Admission(rng)
         body_memory = BodyMemory(settings.body_memory_bytes)
         BODY_BYTES.set_function(lambda: body_memory.held_bytes)
@@ -280,6 +284,7 @@
                 ("housekeeping", self._run_housekeeping),
                 ("handovers", self.handover_client.run),
                 ("crash exchange", self.crash_exchange.run),
+                ("blocked requests", self.blocked_requests.run),
                 ("lost services", self.lost_service_prober.run),
             ):
                 group.create_task(supervise(name, run))
--- a/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_crashes.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/tests/test_entry_crashes.py
@@ -186,3 +186,17 @@
         target.losing_paths = frozenset()
     statuses = await send_for(fleet, 1.0, CALL_INTERVAL_S, lambda _: lost_path)
     assert {status for status, _ in statuses} == {200}
+
+
+# Guards against a request that crashes three more targets, and more, after all
+# instances have restarted at once.
+async def test_request_stays_refused_after_all_instances_restarted(crashing):
+    fleet = crashing.fleet
+    await send_for(fleet, 2.0, CRASHING_CALL_INTERVAL_S, lambda _: CRASHING_PATH)
+    await asyncio.gather(*(instance.kill() for instance in fleet.instances))
+    await asyncio.sleep(RESTART_DELAY_S)
+    await asyncio.gather(*(instance.start() for instance in fleet.instances))
+    await fleet.wait_until_ready()
+    await asyncio.sleep(SETTLE_S)
+    await send_for(fleet, 4.0, CRASHING_CALL_INTERVAL_S, lambda _: CRASHING_PATH)
+    assert len(crashing.runs_after_settling()) <= MAX_SENDS_AFTER_SETTLING
