--- a/packages/baobabring/baobabring/program/entry/_blocked_request_records.py
+++ b/packages/baobabring/baobabring/program/entry/_blocked_request_records.py
@@ -16,8 +16,7 @@
 
 LOG = logbook.Logger("crashes")
 
-CHECK_INTERVAL_S = 0.25
-RETRY_INTERVAL_S = 1.0
+CHECK_INTERVAL_S = 1.0
 MS_PER_S = 1_000
 
 
@@ -66,7 +65,6 @@
             failure = await self.update()
             if failure is not None:
                 LOG.info("blocked requests not stored", problem=failure.problem)
-                await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def update(self) -> StoreFailed | None:
         """Read the records unless that was done, and write what has changed."""
--- a/packages/baobabring/baobabring/program/entry/_crash_exchange.py
+++ b/packages/baobabring/baobabring/program/entry/_crash_exchange.py
@@ -22,14 +22,19 @@
         self.peer_task = peer_task
         self.link = link
         self.clock = clock
+        self._has_suspects = asyncio.Event()
+        guard.on_suspicion = self._has_suspects.set
         link.subscribe(CrashNotices, self._on_notices)
 
     async def run(self) -> None:
-        """Send notices until cancelled."""
+        """Send notices until cancelled, while any request is suspected."""
         while True:
+            await self._has_suspects.wait()
             await asyncio.sleep(SEND_INTERVAL_S)
             self.guard.expire()
             self._send_notices()
+            if not len(self.guard.suspects):
+                self._has_suspects.clear()
 
     def _send_notices(self) -> None:
         is_reader = self.peer_task.is_reader()
--- a/packages/baobabring/baobabring/program/entry/_crash_guard.py
+++ b/packages/baobabring/baobabring/program/entry/_crash_guard.py
@@ -1,6 +1,6 @@
 """Refusal of requests that crash the targets that run them."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 import logbook
@@ -33,6 +33,8 @@
         self.suspects = suspects
         self.shares = shares
         self.clock = clock
+        # Called when something may have to be told to peers.
+        self.on_suspicion: Callable[[], None] = lambda: None
 
     def check(self, progress: CallProgress) -> RefuseCall | None:
         """Return the refusal of a call that must not be sent now, else None."""
@@ -78,6 +80,7 @@
         """Record that a target ended while it ran a call."""
         digest = digest_request(call)
         start = (target.target_id, target.started_at_ms)
+        self.on_suspicion()
         was_blocked = self.suspects.is_blocked(digest)
         if not self.suspects.record_crash(digest, start, crashed_at_s):
             return
@@ -96,6 +99,7 @@
 
     def apply_notice(self, notice: CrashNotice, sender: str, passes_on: bool) -> None:
         """Record what a peer tells of a request; with `passes_on`, tell others."""
+        self.on_suspicion()
         was_blocked = self.suspects.is_blocked(notice.digest)
         self.suspects.apply_notice(notice, passes_on, self.clock.now_s())
         is_blocked = self.suspects.is_blocked(notice.digest)
--- a/packages/baobabring/baobabring/program/entry/_store_reader.py
+++ b/packages/baobabring/baobabring/program/entry/_store_reader.py
@@ -155,7 +155,7 @@
             return StoreFailed(f"era {outcome.store_era} is older than {era}")
         if is_newer_era(outcome.store_era, era):
             return await self._begin_era(outcome.store_era)
-        if era != era_before:
+        if era_before is not None and era != era_before:
             return EraChanged()
         self.shared_view.name_era(outcome.store_era, self.clock.now_s())
         return None
--- a/packages/baobabring/baobabring/program/entry/_view_task.py
+++ b/packages/baobabring/baobabring/program/entry/_view_task.py
@@ -47,6 +47,7 @@
 # take over, and any instance that knows the view sends it to joining ones.
 READER_TIMEOUT_S = 1.0
 READ_CHECK_INTERVAL_S = 0.2
+MAX_OUTDATED_PEERS = 1_000
 
 ViewListener = Callable[[], None]
 
@@ -268,6 +269,8 @@
         OUTDATED_VIEWS.inc()
         if message.sender in self._outdated_peers:
             return
+        if len(self._outdated_peers) >= MAX_OUTDATED_PEERS:
+            self._outdated_peers.clear()
         self._outdated_peers.add(message.sender)
         LOG.info(
             "older view of peer ignored",
--- a/packages/baobabring/baobabring/program/entry/tests/test_store_reader.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_store_reader.py
@@ -111,6 +111,19 @@
     assert reader.shared_view.view.configuration.version == 10
 
 
+async def test_first_read_counts_if_a_peer_names_the_era_meanwhile():
+    reader, store, _ = await build_reader()
+    reader.shared_view.store_era = None
+    store.may_return = asyncio.Event()
+    read = asyncio.ensure_future(reader.read_operators(1_500))
+    await asyncio.sleep(0)
+    reader.shared_view.name_era(1, 100.0)
+    store.put("config", build_configuration(9))
+    store.may_return.set()
+    assert await read is None
+    assert reader.shared_view.view.configuration.version == 9
+
+
 async def test_two_reads_that_notice_the_era_read_all_once():
     reader, store, _ = await build_reader()
     return_from_copy(store, 2)
