--- a/packages/baobabring/baobabring/program/entry/tests/test_blocked_request_records.py
+++ b/packages/baobabring/baobabring/program/entry/tests/test_blocked_request_records.py
@@ -114,6 +114,20 @@
     assert set(store.values) == {"d"}
 
 
+async def test_record_is_read_as_earlier_builds_wrote_it(store):
+    # Ages of 6 ms and 1 ms at the Unix time 2 ms, of a request that crashed `t-1`.
+    store.values = {
+        "ab": bytes.fromhex(
+            "920294a261629193a3742d3105cb4018000000000000cb3ff0000000000000c0"
+        )
+    }
+    records = build_records(store)
+    assert await records.update() is None
+    assert [target for target, _ in records.guard.suspects.crashes("ab")] == [
+        ("t-1", 5)
+    ]
+
+
 async def test_unreadable_record_is_ignored(store):
     store.values = {"a": b"\xc1", "b": b"\x92\x01\x02"}
     records = build_records(store)
--- a/packages/baobabstandins/baobabstandins/soak/_faults.py
+++ b/packages/baobabstandins/baobabstandins/soak/_faults.py
@@ -10,6 +10,7 @@
     Announcement,
 )
 from baobabstandins.soak._checks import Disturbance
+from baobabstandins.soak._crashes import send_crashing_calls
 from baobabstandins.soak._fleet import FEES_RULE, MENU_RULE, SERVICES, ZONES, SoakFleet
 from baobabstandins.soak._plan import Fault, FaultKind
 from baobabstandins.soak._proxy import LinkFaults
@@ -29,6 +30,12 @@
 PAUSES = ("0.8", "1.5", "2")
 # A target that wants pauses refuses calls for this long.
 REFUSAL_S = 0.3
+# The store is away for this long before it comes back from an older copy.
+STORE_ABSENCE_S = 0.3
+PUBLICATION_INTERVAL_S = 0.3
+# Operators and targets write again this long after its return.
+REWRITE_DELAY_S = 0.7
+RESTART_DELAY_S = 1.0
 CUT_MODES = (LinkMode.SILENT, LinkMode.RESET, LinkMode.NEW_REFUSED)
 TARGET_FAULTS = (
     TargetFault.RESET_AFTER_RUN,
@@ -50,6 +57,10 @@
         self._cut_instances: set[int] = set()
         self._ending_targets: set[str] = set()
         self._limits: dict[str, AnnouncedLimit] = {}
+        self._is_store_returning = False
+        # Times of the crashes by the path of the calls that caused them.
+        self.crashes: dict[str, list[float]] = {}
+        self._restarts: set[asyncio.Task] = set()
 
     async def run(self, plan: tuple[Fault, ...]) -> None:
         """Inject the faults of a plan until the last one has ended."""
@@ -68,6 +79,8 @@
             await self._disturb_target(fault, duration_s)
         elif fault.kind is FaultKind.LINKS_CUT:
             await self._cut_links(fault, duration_s)
+        elif fault.kind is FaultKind.CRASHING_CALLS:
+            await self._crash_targets(fault, duration_s)
         elif kind.startswith("instance"):
             await self._disturb_instance(fault, duration_s)
         else:
@@ -86,6 +99,8 @@
                 store.silent_topics = set(STORE_TOPICS)
                 await asyncio.sleep(duration_s)
                 store.silent_topics = set()
+            case FaultKind.STORE_RETURNS:
+                await self._return_store(duration_s)
             case FaultKind.STORE_FORGETS:
                 store.expired_topics = set(STORE_TOPICS)
             case FaultKind.STORE_CUT:
@@ -98,6 +113,50 @@
             case FaultKind.STORE_ANSWERS_LOST:
                 await _apply_link_faults(link.faults, duration_s, drop_responses=True)
 
+    async def _return_store(self, copy_age_s: float) -> None:
+        """Let the store come back from a copy, unless it does so already."""
+        if self._is_store_returning:
+            return
+        self._is_store_returning = True
+        store = self.fleet.store
+        copy = store.take_copy()
+        zones_out_before = set(self.fleet.zones_out)
+        lost_until_s = time.monotonic() + copy_age_s
+        while time.monotonic() < lost_until_s:
+            self.fleet.publish([MENU_RULE, FEES_RULE], list(SERVICES))
+            await asyncio.sleep(PUBLICATION_INTERVAL_S)
+        store.down = True
+        await asyncio.sleep(STORE_ABSENCE_S)
+        store.return_from_copy(copy)
+        store.down = False
+        await asyncio.sleep(REWRITE_DELAY_S)
+        self.fleet.write_again(zones_out_before)
+        self._is_store_returning = False
+
+    async def _crash_targets(self, fault: Fault, duration_s: float) -> None:
+        """Send calls that crash targets, which start again a moment later."""
+        path = f"/menu/crash-{fault.selector}"
+        crashes = self.crashes.setdefault(path, [])
+        for target in self.fleet.targets:
+            target.on_crash = lambda target=target: self._on_crash(target, crashes)
+        self.fleet.crashing_paths.add(path)
+        await send_crashing_calls(self.fleet, path, duration_s, fault.selector)
+        if self._restarts:
+            await asyncio.wait(self._restarts)
+
+    def _on_crash(self, target: StandinTarget, crashes: list[float]) -> None:
+        crashes.append(time.time())
+        restart = asyncio.ensure_future(self._restart_target(target))
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _restart_target(self, target: StandinTarget) -> None:
+        await self.fleet.target_links[target.target_id].stop()
+        if target.target_id in self._ending_targets:
+            # Another fault starts it again.
+            return
+        await self._crash(target, RESTART_DELAY_S)
+
     async def _disturb_target(self, fault: Fault, duration_s: float) -> None:
         target = self.fleet.targets[fault.selector % len(self.fleet.targets)]
         link = self.fleet.target_links[target.target_id]
@@ -116,7 +175,6 @@
                 target.fault = TargetFault.NONE
             case FaultKind.TARGET_CRASH:
                 await self._crash(target, duration_s)
-
             case FaultKind.TARGET_LIMITED:
                 await self._limit(
                     target, LIMITS[fault.selector % len(LIMITS)], duration_s
--- a/packages/baobabstandins/baobabstandins/soak/_fleet.py
+++ b/packages/baobabstandins/baobabstandins/soak/_fleet.py
@@ -27,6 +27,8 @@
         self.store_links: list[FaultyLink] = []
         self.target_links: dict[str, FaultyLink] = {}
         self.zones_out: set[str] = set()
+        # Paths of calls that crash the targets that run them.
+        self.crashing_paths: set[str] = set()
 
     async def start(self) -> None:
         """Start links, targets and instances."""
@@ -41,6 +43,7 @@
                 target = StandinTarget(
                     target_id, service, zone, service_time_s=SERVICE_TIME_S
                 )
+                target.crashing_paths = self.crashing_paths
                 await self.start_target(target)
                 self.targets.append(target)
         self.publish([MENU_RULE, FEES_RULE], list(SERVICES))
@@ -58,6 +61,17 @@
         self.target_links[target.target_id] = link
         target.register(self.store)
 
+    def write_again(self, zones_out_before: set[str]) -> None:
+        """Write what operators and running targets wrote since a copy was taken."""
+        self.publish([MENU_RULE, FEES_RULE], list(SERVICES))
+        for zone in self.zones_out - zones_out_before:
+            self.set_zone_out(zone)
+        for zone in zones_out_before - self.zones_out:
+            self.set_zone_in(zone)
+        for target in self.targets:
+            if target.is_serving:
+                target.register(self.store)
+
     async def stop_links(self) -> None:
         """Stop all links."""
         for link in (*self.store_links, *self.target_links.values()):
--- a/packages/baobabstandins/baobabstandins/soak/_run.py
+++ b/packages/baobabstandins/baobabstandins/soak/_run.py
@@ -8,13 +8,16 @@
 from baobabstandins.soak._announcements import check_announcements
 from baobabstandins.soak._callers import Caller
 from baobabstandins.soak._checks import History, check_history
+from baobabstandins.soak._crashes import check_crashes
 from baobabstandins.soak._faults import FaultInjector
 from baobabstandins.soak._fleet import INSTANCE_COUNT, SoakFleet
 from baobabstandins.soak._plan import (
     Fault,
     draw_announcements,
+    draw_crashing_calls,
     draw_cuts,
     draw_plan,
+    draw_store_returns,
 )
 
 CALLERS_PER_INSTANCE = 2
@@ -30,12 +33,16 @@
     directory: Path,
     announcements: bool = False,
     cuts: bool = False,
+    store_returns: bool = False,
+    crashing_calls: bool = False,
 ) -> list[Finding]:
     """Run instances, callers and the faults of a seed; return violations.
 
     Settings and logs of the instances are written to `directory`. With
     `announcements`, targets also name limits, leave and want pauses. With `cuts`,
-    instances also lose their links to all targets.
+    instances also lose their links to all targets. With `store_returns`, the store
+    also comes back from older copies. With `crashing_calls`, some calls crash the
+    targets that run them.
     """
     async with SoakFleet(directory) as fleet:
         await fleet.start()
@@ -45,6 +52,10 @@
                 plan += draw_announcements(seed, duration_s)
             if cuts:
                 plan += draw_cuts(seed, duration_s)
+            if store_returns:
+                plan += draw_store_returns(seed, duration_s)
+            if crashing_calls:
+                plan += draw_crashing_calls(seed, duration_s)
             return await _inject_faults_and_check(fleet, seed, duration_s, plan)
         finally:
             await fleet.stop_links()
@@ -72,9 +83,33 @@
         recovered_by_s=recovered_by_s,
     )
     findings = check_history(history) + _check_announcements(fleet, injector)
+    findings += _check_crashes(fleet, injector)
+    findings += _check_configurations(fleet)
     return findings + _find_failed_instances(fleet)
 
 
+def _check_crashes(fleet: SoakFleet, injector: FaultInjector) -> list[Finding]:
+    return [
+        finding
+        for path, crashed_at_s in injector.crashes.items()
+        for finding in check_crashes(
+            path, fleet.targets, crashed_at_s, injector.disturbances
+        )
+    ]
+
+
+def _check_configurations(fleet: SoakFleet) -> list[Finding]:
+    """Find instances by whose log an older configuration is in force at the end."""
+    findings = []
+    for instance in fleet.instances:
+        lines = instance.read_log_lines("view changed")
+        version = lines[-1]["configuration"] if lines else None
+        if version != fleet.version:
+            problem = f"configuration {version} in force, {fleet.version} published"
+            findings.append(Finding("configuration in force", instance.name, problem))
+    return findings
+
+
 def _check_announcements(fleet: SoakFleet, injector: FaultInjector) -> list[Finding]:
     disturbed = frozenset(d.instance for d in injector.disturbances)
     return [
--- a/packages/baobabstandins/baobabstandins/soak/tests/test_plan.py
+++ b/packages/baobabstandins/baobabstandins/soak/tests/test_plan.py
@@ -1,6 +1,13 @@
 """Test the fault plans of the soak test."""
 
-from baobabstandins.soak import FaultKind, draw_announcements, draw_cuts, draw_plan
+from baobabstandins.soak import (
+    FaultKind,
+    draw_announcements,
+    draw_crashing_calls,
+    draw_cuts,
+    draw_plan,
+    draw_store_returns,
+)
 
 DURATION_S = 100.0
 
@@ -21,4 +28,6 @@
     plans = [draw_plan(seed, DURATION_S) for seed in range(20)]
     plans += [draw_announcements(seed, DURATION_S) for seed in range(20)]
     plans += [draw_cuts(seed, DURATION_S) for seed in range(20)]
+    plans += [draw_store_returns(seed, DURATION_S) for seed in range(20)]
+    plans += [draw_crashing_calls(seed, DURATION_S) for seed in range(20)]
     assert {fault.kind for plan in plans for fault in plan} == set(FaultKind)
--- a/packages/baobabstandins/baobabstandins/usersplatform/_fleet.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_fleet.py
@@ -115,7 +115,7 @@
         self._directory = directory
         self._instance_count = instance_count
         self._program = program
-        self._version = 0
+        self.version = 0
         # Gives fleets of tests that run in parallel different addresses.
         self._network = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
 
@@ -140,9 +140,9 @@
 
     def publish(self, rules: list[dict], services: list[str]) -> int:
         """Publish a configuration and return its version."""
-        self._version += 3
+        self.version += 3
         value = {
-            "version": self._version,
+            "version": self.version,
             "listeners": [{"host": "school.example", "rule-set": rules}],
             "clusters": [
                 {
@@ -155,7 +155,7 @@
             ],
         }
         self.store.put(OPERATOR_TOPIC, "config", json.dumps(value).encode())
-        return self._version
+        return self.version
 
     def set_zone_out(self, zone: str) -> None:
         """Request that the targets of an availability zone get no new calls."""
--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -4,7 +4,7 @@
 import contextlib
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -104,7 +104,7 @@
     # Value of the header that it adds when it refuses a call.
     retry_after: str | None = None
     # Paths of calls that crash the target while it runs them, after some time.
-    crashing_paths: frozenset[str] = frozenset()
+    crashing_paths: Collection[str] = frozenset()
     crash_delay_s: float = 0.03
     on_crash: Callable[[], None] = lambda: None
     # Paths of calls whose responses are lost with their connections.
@@ -138,9 +138,14 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    @property
+    def is_serving(self) -> bool:
+        """Return whether the target takes connections."""
+        return self._server is not None and self._server.is_serving()
+
     async def crash(self) -> None:
         """Stop serving, unless that has happened already."""
-        if self._server.is_serving():
+        if self.is_serving:
             await self.stop()
             self.on_crash()
 
