--- a/packages/baobabstandins/baobabstandins/usersplatform/_target.py
+++ b/packages/baobabstandins/baobabstandins/usersplatform/_target.py
@@ -226,8 +226,7 @@
         time_left_ms = float(headers["x-baobabring-deadline-ms"])
         self.runs.append(CallRun(call_id, path, body, time.time(), time_left_ms))
         if path in self.crashing_paths:
-            await asyncio.sleep(self.crash_delay_s)
-            await self.crash()
+            await self._crash_during(writer, call_headers)
             return False
         if not await self._run_call(reader):
             return False
@@ -238,6 +237,16 @@
             return await self._send_download(writer, call_headers)
         return self._finish_call(writer, call_headers, method)
 
+    async def _crash_during(
+        self, writer: asyncio.StreamWriter, call_headers: dict[str, str]
+    ) -> None:
+        """Crash while a call runs, halfway through its body if that is long."""
+        await asyncio.sleep(self.crash_delay_s)
+        if self.download_bytes:
+            self.fault = TargetFault.CUT_SHORT
+            await self._send_download(writer, call_headers)
+        await self.crash()
+
     async def _send_without_end(self, writer: asyncio.StreamWriter) -> bool:
         writer.write(ENDLESS_BEGINNINGS[self.fault])
         while True:
