--- a/packages/baobabring/baobabring/platform/store.py
+++ b/packages/baobabring/baobabring/platform/store.py
@@ -28,6 +28,8 @@
 # Rises each time that the store comes back from an older copy.
 ERA_HEADER = b"store-era"
 MAX_ERA_DIGITS = 15
+# Era of a store that has never come back from an older copy.
+FIRST_ERA = 0
 # A connection requires the name of an id header; the store sends none.
 UNUSED_CALL_ID_HEADER = b"x-baobabring-attempt-id"
 
@@ -36,7 +38,7 @@
 class Newest:
     """Represent the newest record of each key and the offset of the next read.
 
-    `store_era` is None if the store did not name its era.
+    `store_era` is None if the response names an era that can't be read.
     """
 
     records: tuple[KeyedRecord, ...]
@@ -195,7 +197,10 @@
 
 
 def _read_era(response: HttpResponse) -> int | None:
-    value = response.header(ERA_HEADER) or b""
+    """Return the era of a response, `FIRST_ERA` if it names none."""
+    value = response.header(ERA_HEADER)
+    if value is None:
+        return FIRST_ERA
     if not value.isdigit() or len(value) > MAX_ERA_DIGITS:
         return None
     return int(value)
