--- a/packages/baobabring/baobabring/program/entry/_crash_exchange.py
+++ b/packages/baobabring/baobabring/program/entry/_crash_exchange.py
@@ -20,7 +20,6 @@
     ) -> None:
         self.guard = guard
         self.peer_task = peer_task
-        self.link = link
         self.clock = clock
         self._has_suspects = asyncio.Event()
         guard.on_suspicion = self._has_suspects.set
@@ -37,19 +36,13 @@
                 self._has_suspects.clear()
 
     def _send_notices(self) -> None:
-        is_reader = self.peer_task.is_reader()
-        reader_address = self.peer_task.reader_address
-        if not is_reader and reader_address is None:
+        if not self.peer_task.can_tell_all():
             return
-        suspects = self.guard.suspects
-        notices = suspects.pop_notices(is_reader, self.clock.now_s())
-        if not notices:
-            return
-        message = CrashNotices(self.peer_task.instance_id, notices)
-        if is_reader:
-            self.link.broadcast(message)
-        else:
-            self.link.send(reader_address, message)
+        passes_on = self.peer_task.is_reader()
+        notices = self.guard.suspects.pop_notices(passes_on, self.clock.now_s())
+        if notices:
+            message = CrashNotices(self.peer_task.instance_id, notices)
+            self.peer_task.tell_all(message)
 
     def _on_notices(self, message: CrashNotices) -> None:
         passes_on = self.peer_task.is_reader()
--- a/packages/baobabring/baobabring/program/entry/_limit_exchange.py
+++ b/packages/baobabring/baobabring/program/entry/_limit_exchange.py
@@ -19,24 +19,17 @@
     ) -> None:
         self.limit_observer = limit_observer
         self.peer_task = peer_task
-        self.link = link
         self.clock = clock
         link.subscribe(TargetLimitNotices, self._on_notices)
 
     def send_notices(self) -> None:
         """Send what peers have not been told yet."""
-        is_reader = self.peer_task.is_reader()
-        reader_address = self.peer_task.reader_address
-        if not is_reader and reader_address is None:
+        if not self.peer_task.can_tell_all():
             return
         notices = self.limit_observer.limits.pop_notices(self.clock.now_s())
-        if not notices:
-            return
-        message = TargetLimitNotices(self.peer_task.instance_id, notices)
-        if is_reader:
-            self.link.broadcast(message)
-        else:
-            self.link.send(reader_address, message)
+        if notices:
+            message = TargetLimitNotices(self.peer_task.instance_id, notices)
+            self.peer_task.tell_all(message)
 
     def _on_notices(self, message: TargetLimitNotices) -> None:
         pass_on = self.peer_task.is_reader()
--- a/packages/baobabring/baobabring/program/entry/_peer_task.py
+++ b/packages/baobabring/baobabring/program/entry/_peer_task.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 import logbook
+import msgspec
 
 from baobabring.entry import (
     FleetStatus,
@@ -162,6 +163,17 @@
             return True
         return remaining == 0
 
+    def can_tell_all(self) -> bool:
+        """Return whether this instance is the reader or knows it."""
+        return self.is_reader() or self.reader_address is not None
+
+    def tell_all(self, message: msgspec.Struct) -> None:
+        """Send a message to all, by way of the reader unless this instance is it."""
+        if self.is_reader():
+            self.link.broadcast(message)
+        elif self.reader_address is not None:
+            self.link.send(self.reader_address, message)
+
     def announce_leaving(self) -> None:
         """Notify the reader that this instance is leaving."""
         self._send_to_reader(
