--- a/packages/baobabring/baobabring/program/entry/_handed_over_body.py
+++ b/packages/baobabring/baobabring/program/entry/_handed_over_body.py
@@ -40,7 +40,6 @@
     ) -> None:
         super().__init__(length_bytes, memory, _NoTransport())
         self.received_bytes = 0
-        self._read_bytes = 0
         self._on_read = on_read
 
     def feed(self, data: bytes) -> None:
@@ -51,7 +50,6 @@
     async def read(self, size_bytes: int) -> bytes:
         """Return the next bytes, none at the end; raises `BodyEndedError`."""
         part = await super().read(size_bytes)
-        self._read_bytes += len(part)
         if part and self.end is None:
-            self._on_read(len(part), self._read_bytes)
+            self._on_read(len(part), self.received_bytes - self.held_bytes)
         return part
