--- a/packages/baobabring/baobabring/program/entry/_store_reader.py
+++ b/packages/baobabring/baobabring/program/entry/_store_reader.py
@@ -136,12 +136,17 @@
 
     async def _read_newest(self, topic: str) -> Newest | EraChanged | StoreFailed:
         era = self.shared_view.store_era
-        newest = await self.store.read_newest(topic)
-        self._observe(newest)
+        newest = await self._fetch_newest(topic)
         if isinstance(newest, StoreFailed):
             return newest
         return await self._check_era(newest, era) or newest
 
+    async def _fetch_newest(self, topic: str) -> Newest | StoreFailed:
+        """Return the newest records of a topic, whatever their era."""
+        newest = await self.store.read_newest(topic)
+        self._observe(newest)
+        return newest
+
     async def _check_era(
         self, outcome: Newest | Records | HistoryGone, era_before: int | None
     ) -> EraChanged | StoreFailed | None:
@@ -165,12 +170,10 @@
         async with self._era_lock:
             if not is_newer_era(store_era, self.shared_view.store_era):
                 return EraChanged()
-            operators = await self.store.read_newest(OPERATOR_TOPIC)
-            self._observe(operators)
+            operators = await self._fetch_newest(OPERATOR_TOPIC)
             if isinstance(operators, StoreFailed):
                 return operators
-            targets = await self.store.read_newest(TARGET_TOPIC)
-            self._observe(targets)
+            targets = await self._fetch_newest(TARGET_TOPIC)
             if isinstance(targets, StoreFailed):
                 return targets
             if operators.store_era != targets.store_era:
