--- a/packages/baobabring/baobabring/entry/_crash_suspects.py
+++ b/packages/baobabring/baobabring/entry/_crash_suspects.py
@@ -118,7 +118,8 @@
 
     def is_blocked(self, digest: str) -> bool:
         """Return whether a request has crashed too many targets."""
-        return self.crash_count(digest) >= MAX_CRASHES
+        suspect = self._suspects.get(digest)
+        return suspect is not None and suspect.is_blocked
 
     def blocked(self) -> list[tuple[str, float]]:
         """Return the requests that are blocked, and when they were last attempted."""
--- a/packages/baobabring/baobabring/program/entry/_crash_guard.py
+++ b/packages/baobabring/baobabring/program/entry/_crash_guard.py
@@ -33,6 +33,7 @@
         self.suspects = suspects
         self.shares = shares
         self.clock = clock
+        BLOCKED_REQUESTS.set_function(lambda: len(suspects.blocked()))
         # Called when something may have to be told to peers.
         self.on_suspicion: Callable[[], None] = lambda: None
 
@@ -41,10 +42,12 @@
         digest = self._get_digest(progress)
         if digest is None or not self.suspects.crash_count(digest):
             return None
-        rank = 0
-        if self.suspects.is_blocked(digest):
+        now_s = self.clock.now_s()
+        until_s = self.suspects.refused_until_s(digest, 0, now_s)
+        if until_s is None and self.suspects.is_blocked(digest):
+            # The rank takes a hash for each instance, and matters for few calls.
             rank = self.shares.count_instances_before(digest)
-        until_s = self.suspects.refused_until_s(digest, rank, self.clock.now_s())
+            until_s = self.suspects.refused_until_s(digest, rank, now_s)
         if until_s is None:
             return None
         return RefuseCall(until_s, CallProblem.CRASHES_TARGETS)
@@ -111,7 +114,6 @@
     def expire(self) -> None:
         """Forget requests whose crashes were long ago."""
         self.suspects.expire(self.clock.now_s())
-        BLOCKED_REQUESTS.set(len(self.suspects.blocked()))
 
     def _get_digest(self, progress: CallProgress) -> str | None:
         """Return the digest of a call's request, None while nothing is suspected."""
@@ -133,8 +135,6 @@
                 for (target_id, started_at_ms), at_s in self.suspects.crashes(digest)
             ],
         )
-        BLOCKED_REQUESTS.set(len(self.suspects.blocked()))
 
     def _log_unblocked(self, digest: str, source: str) -> None:
         LOG.warning("request no longer blocked", request=digest, source=source)
-        BLOCKED_REQUESTS.set(len(self.suspects.blocked()))
