--- a/review/standins/client.py
+++ b/review/standin_client.py
@@ -4,14 +4,14 @@
 import uuid
 from dataclasses import dataclass
 
-from standins.http import (
+from standin_http import (
     STREAM_LIMIT_BYTES,
     IncompleteMessageError,
     encode,
     read_body,
     read_head,
 )
-from standins.record import Record
+from standin_record import Record
 
 CONNECT_TIMEOUT_S = 1.0
 MS_PER_S = 1_000
--- a/review/standins/record.py
+++ b/review/standin_record.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import sys
 import time
 import traceback
@@ -37,13 +36,14 @@
         self._file.close()
 
 
-def run_case(folder: Path, play: Callable[[Record, bool], Awaitable[bool]]) -> None:
+def run_case(
+    folder: Path, play: Callable[[Record, bool], Awaitable[bool]], has_trouble: bool
+) -> None:
     """Play a case and exit: 0 if the rule held, 1 if not, 2 if it couldn't run.
 
     `play` gets the record and whether the disruption takes place, and returns whether
     the rule held.
     """
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     try:
         held = asyncio.run(asyncio.wait_for(play(record, has_trouble), CASE_LIMIT_S))
--- a/review/standins/store.py
+++ b/review/standin_store.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qs, urlsplit
 
-from standins.http import (
+from standin_http import (
     STREAM_LIMIT_BYTES,
     IncompleteMessageError,
     Message,
--- a/review/standins/upstream.py
+++ b/review/standin_upstream.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import dataclass, field
 
-from standins.http import (
+from standin_http import (
     STREAM_LIMIT_BYTES,
     IncompleteMessageError,
     Message,
@@ -13,8 +13,8 @@
     read_body,
     read_head,
 )
-from standins.record import Record
-from standins.store import SERVER_TOPIC, Store
+from standin_record import Record
+from standin_store import SERVER_TOPIC, Store
 
 ATTEMPT_ID = "x-baobabring-attempt-id"
 DEADLINE_MS = "x-baobabring-deadline-ms"
